Set down the kernel, core types and the ports between plug-ins

Cause: every later part needs the same registry, duties, rings and types. Conclusion: plug-ins can be written side by side against port.

--- /dev/null
+++ b/cmd/teasel-node/main.go
@@ -0,0 +1,4 @@
+// Command teasel-node is the process that runs beside each upstream.
+package main
+
+func main() {}
--- /dev/null
+++ b/kernel/duty.go
@@ -0,0 +1,82 @@
+package kernel
+
+import (
+	"context"
+	"sync"
+
+	"github.com/phuslu/log"
+	"go.uber.org/fx"
+)
+
+// Duty is one goroutine with one owner for its state.
+type Duty struct {
+	Name string
+	Owns string   // the state that only this duty changes
+	In   []string // names of the rings that it receives from
+	Out  []string // names of the rings that it sends to
+	// Run returns when ctx ends. An earlier return with an error stops the process.
+	Run func(ctx context.Context) error
+}
+
+// ProvideDuty returns an fx option that runs the duty built by constructor,
+// a function that returns Duty and takes its rings and cells as arguments.
+func ProvideDuty(constructor any) fx.Option {
+	return fx.Provide(fx.Annotate(constructor, fx.ResultTags(`group:"duties"`)))
+}
+
+// ProvideRing returns an fx option that provides the ring as its own type and
+// lists it for operators.
+func ProvideRing[T any](name string, capacity int, full FullPolicy) fx.Option {
+	return fx.Options(
+		fx.Provide(func() *Ring[T] { return NewRing[T](name, capacity, full) }),
+		fx.Provide(fx.Annotate(
+			func(r *Ring[T]) anyRing { return r },
+			fx.ResultTags(`group:"rings"`),
+		)),
+	)
+}
+
+type dutiesIn struct {
+	fx.In
+	Duties []Duty `group:"duties"`
+	Logger *log.Logger
+}
+
+// runDuties starts every duty with the application and waits for all of them
+// when it stops.
+func runDuties(lc fx.Lifecycle, stop fx.Shutdowner, in dutiesIn) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			for _, d := range in.Duties {
+				running.Go(func() { runDuty(ctx, d, stop, in.Logger) })
+			}
+			return nil
+		},
+		OnStop: func(stopCtx context.Context) error {
+			cancel()
+			return waitGroup(stopCtx, &running)
+		},
+	})
+}
+
+func runDuty(ctx context.Context, d Duty, stop fx.Shutdowner, logger *log.Logger) {
+	err := d.Run(ctx)
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	logger.Error().Str("duty", d.Name).Err(err).Msg("duty failed, stopping the process")
+	_ = stop.Shutdown(fx.ExitCode(1))
+}
+
+func waitGroup(ctx context.Context, group *sync.WaitGroup) error {
+	done := make(chan struct{})
+	go func() { group.Wait(); close(done) }()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/kernel/settings_test.go
@@ -0,0 +1,56 @@
+package kernel
+
+import (
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/fx"
+
+	"teaselring/result"
+)
+
+type sampleSettings struct {
+	Address netip.AddrPort `toml:"address"`
+	Wait    Duration       `toml:"wait"`
+	Count   int            `toml:"count"`
+}
+
+func (s *sampleSettings) Validate() error { return InRange("count", s.Count, 1, 10) }
+
+func init() {
+	Register(Plugin{
+		Name: "sample.one",
+		Settings: func() Validator {
+			return &sampleSettings{Wait: Span(time.Second), Count: 3}
+		},
+		Module: func(Validator) fx.Option { return fx.Options() },
+	})
+}
+
+// A settings file with a mistake must be refused with its line: a mistyped key
+// that is ignored leaves a node running on a default nobody chose.
+var _ = DescribeTable("a settings file with a mistake",
+	func(content string, code *result.Code, line, mention string) {
+		_, err := Parse("node.toml", []byte(content))
+		Expect(err).To(HaveOccurred())
+		Expect(result.Of(err)).To(Equal(code))
+		Expect(err.Error()).To(ContainSubstring("node.toml:" + line))
+		Expect(err.Error()).To(ContainSubstring(mention))
+	},
+	Entry("unknown key", "[sample.one]\nwiat = \"1s\"\n", result.SettingUnknown, "2", "wiat"),
+	Entry("unknown table", "[sample.two]\ncount = 1\n", result.SettingUnknown, "1", "two"),
+	Entry("wrong unit", "[sample.one]\ncount = 1\nwait = \"5 parsecs\"\n", result.SettingInvalid, "3", "number with a unit"),
+	Entry("address that is not an IP", "[sample.one]\naddress = \"localhost:80\"\n", result.SettingInvalid, "2", "localhost"),
+	Entry("out of range", "[sample.one]\n\ncount = 11\n", result.SettingInvalid, "3", "1 to 10"),
+	Entry("not TOML", "[sample.one]\ncount = = 1\n", result.SettingSyntax, "2", ""),
+)
+
+var _ = Describe("a settings file", func() {
+	It("replaces only the values that it names", func() {
+		s, err := Parse("node.toml", []byte("[sample.one]\ncount = 7\n"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Of("sample.one")).To(Equal(&sampleSettings{Wait: Span(time.Second), Count: 7}))
+	})
+})
--- /dev/null
+++ b/mesh/call.go
@@ -0,0 +1,65 @@
+package mesh
+
+import "time"
+
+// AttemptID identifies one try at running a call on one upstream.
+type AttemptID string
+
+// Call is the envelope of a caller's request: everything but its body.
+type Call struct {
+	Method   string
+	Path     string
+	Caller   CallerID
+	Key      string // Idempotency-Key, empty when absent
+	Class    Class
+	Service  ServiceID
+	Route    RouteID
+	Deadline time.Time
+	// Fingerprint identifies equal requests for quarantine.
+	Fingerprint uint64
+}
+
+// Idempotent reports whether running the call twice does no harm: safe
+// methods and PUT and DELETE by RFC 9110 section 9.2.2, except in class once.
+func (c *Call) Idempotent() bool {
+	if c.Class == ClassOnce {
+		return false
+	}
+	switch c.Method {
+	case "GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE":
+		return true
+	}
+	return false
+}
+
+// Load is what an owner node reports with each answer.
+type Load struct {
+	InFlight int
+	Queued   int
+	Limit    int // current limit of calls in flight, at most the slots
+}
+
+// Target is the endpoint chosen for one attempt.
+type Target struct {
+	Node        NodeID
+	Incarnation Incarnation
+	PeerAddress string
+	Zone        Zone
+	Service     ServiceID
+	Version     UpstreamVersion
+}
+
+// Outcome is what an entry node learned from one attempt.
+type Outcome struct {
+	Target   Target
+	Route    RouteID
+	Caller   CallerID
+	Class    Class
+	Status   int           // HTTP status, 0 when no answer came
+	Code     int           // result code number, 0 when the upstream answered
+	Failed   bool          // the attempt failed for a reason on the upstream's side
+	Shed     bool          // the upstream or its queue refused under load
+	Crashed  bool          // the upstream process ended during the attempt
+	Duration time.Duration // until the first byte of the answer
+	Load     *Load         // nil when none was reported
+}
--- /dev/null
+++ b/mesh/evidence.go
@@ -0,0 +1,59 @@
+package mesh
+
+import "time"
+
+// LatencyBuckets is the number of buckets of a Tally. Bucket i counts answers
+// that took less than 250 µs × 2^i; the last one counts all others.
+const LatencyBuckets = 20
+
+// Tally counts what the calls of one version on one route came to.
+type Tally struct {
+	Calls    uint32                 `cbor:"1,keyasint"`
+	Failures uint32                 `cbor:"2,keyasint"`
+	Shed     uint32                 `cbor:"3,keyasint"`
+	Crashes  uint32                 `cbor:"4,keyasint"`
+	Latency  [LatencyBuckets]uint32 `cbor:"5,keyasint"`
+}
+
+// Comparison is the new version against the old one on one route in one window.
+type Comparison struct {
+	Route RouteID `cbor:"1,keyasint"`
+	Old   Tally   `cbor:"2,keyasint"`
+	New   Tally   `cbor:"3,keyasint"`
+}
+
+// Evidence is what one node saw of a move since the node first heard of it.
+// A later report of the same incarnation replaces an earlier one.
+type Evidence struct {
+	Move        MoveID       `cbor:"1,keyasint"`
+	Node        NodeID       `cbor:"2,keyasint"`
+	Incarnation Incarnation  `cbor:"3,keyasint"`
+	Sequence    uint64       `cbor:"4,keyasint"`
+	Routes      []Comparison `cbor:"5,keyasint"`
+	// Cut is set when the node has cut the new version's share to zero.
+	Cut    bool   `cbor:"6,keyasint"`
+	Reason string `cbor:"7,keyasint"`
+}
+
+// Crash is the end of an upstream process with calls in flight.
+type Crash struct {
+	Service      ServiceID `cbor:"1,keyasint"`
+	Node         NodeID    `cbor:"2,keyasint"`
+	Process      string    `cbor:"3,keyasint"`
+	Fingerprints []uint64  `cbor:"4,keyasint"` // of the calls in flight
+	At           time.Time `cbor:"5,keyasint"`
+}
+
+// Split is how a node divides the calls of a service during a move.
+type Split struct {
+	Move     MoveID
+	Old, New UpstreamVersion
+	Routes   []RouteID // empty: all of the service
+	Share    float64   // of calls to the new version, 0 to 1
+}
+
+// Splits holds the current split of each service that has a move, and the
+// version in use of each service whose last move has ended.
+type Splits struct {
+	ByService map[ServiceID]Split
+}
--- /dev/null
+++ b/mesh/member.go
@@ -0,0 +1,60 @@
+package mesh
+
+// NodeState is what the members agree on about a node.
+type NodeState uint8
+
+// States of a node. A higher state overrides a lower one of the same
+// incarnation and sequence.
+const (
+	NodeAlive NodeState = iota + 1
+	NodeSuspect
+	NodeDead
+	NodeLeft
+)
+
+// EndpointState is what an upstream says about itself to the node beside it.
+type EndpointState uint8
+
+// States of an upstream.
+const (
+	EndpointNone     EndpointState = iota // nothing announced
+	EndpointStarting                      // announced, takes no work yet
+	EndpointReady
+	EndpointDraining // finishes its work, takes no new work
+	EndpointGone     // stopped announcing
+)
+
+// Endpoint is an upstream as seen by the node beside it.
+type Endpoint struct {
+	Service ServiceID       `json:"service" cbor:"1,keyasint"`
+	Version UpstreamVersion `json:"version" cbor:"2,keyasint"`
+	Slots   int             `json:"slots" cbor:"3,keyasint"`
+	State   EndpointState   `json:"state" cbor:"4,keyasint"`
+	Process string          `json:"process" cbor:"5,keyasint"` // differs for each start of the upstream
+}
+
+// Member is one node and the upstream beside it, as membership spreads it.
+type Member struct {
+	Node        NodeID      `json:"node" cbor:"1,keyasint"`
+	Incarnation Incarnation `json:"incarnation" cbor:"2,keyasint"` // constant for one life of the process
+	// Sequence grows with each change by the node itself, such as a refutation.
+	Sequence    uint64    `json:"sequence" cbor:"3,keyasint"`
+	Zone        Zone      `json:"zone" cbor:"4,keyasint"`
+	Region      Region    `json:"region" cbor:"5,keyasint"`
+	PeerAddress string    `json:"peer_address" cbor:"6,keyasint"` // IP:port
+	State       NodeState `json:"state" cbor:"7,keyasint"`
+	Endpoint    Endpoint  `json:"endpoint" cbor:"8,keyasint"`
+	// InForce is the configuration version that the node reported last.
+	InForce Version `json:"in_force" cbor:"9,keyasint"`
+}
+
+// Ready reports whether new work may be sent to the member's upstream.
+func (m *Member) Ready() bool {
+	return m.State == NodeAlive && m.Endpoint.State == EndpointReady
+}
+
+// View is an immutable list of all known members, sorted by node id.
+type View struct {
+	Self    NodeID
+	Members []Member
+}
--- /dev/null
+++ b/port/calls.go
@@ -0,0 +1,76 @@
+package port
+
+import (
+	"net/netip"
+
+	"teaselring/kernel"
+	"teaselring/mesh"
+)
+
+// Pick asks the router for an endpoint.
+type Pick struct {
+	Call    mesh.Call
+	Tried   []mesh.NodeID // nodes that earlier attempts of the call used
+	Retried bool          // a retry of the call, to be charged to the caller's budget
+	First   bool          // the first attempt, counted against the caller's limit
+}
+
+// PickRing leads from the callers' edge to the router.
+type PickRing = kernel.Ring[kernel.Ask[Pick, mesh.Target]]
+
+// OutcomeRing leads from the callers' edge to the router. It waits when full:
+// a lost outcome would leave its attempt counted as in flight.
+type OutcomeRing = kernel.Ring[Finished]
+
+// Finished reports the end of an attempt or of a whole call to the router.
+type Finished struct {
+	Outcome mesh.Outcome
+	// CallEnded releases the caller's in-flight place.
+	CallEnded bool
+	// NoAttempt is set when only the caller's place is released.
+	NoAttempt bool
+}
+
+// Admit asks the owner node's slots duty to start an attempt.
+type Admit struct {
+	Call        mesh.Call
+	Attempt     mesh.AttemptID
+	Incarnation mesh.Incarnation     // the life of the owner node that the entry node knows
+	Version     mesh.UpstreamVersion // the upstream version that the entry node chose
+}
+
+// Admitted tells the owner's edge where to send the attempt.
+type Admitted struct {
+	Upstream netip.AddrPort
+	Process  string // life of the upstream that the attempt was admitted for
+	Load     mesh.Load
+}
+
+// AdmitRing leads from the edges to the slots duty.
+type AdmitRing = kernel.Ring[kernel.Ask[Admit, Admitted]]
+
+// Released reports the end of an admitted attempt.
+type Released struct {
+	Attempt mesh.AttemptID
+	Status  int  // status of the upstream, 0 when none came
+	Shed    bool // the upstream refused under load
+	Lost    bool // the connection to the upstream broke
+}
+
+// ReleaseRing leads from the edges to the slots duty. It waits when full: a
+// lost release would leave its slot taken.
+type ReleaseRing = kernel.Ring[Released]
+
+// Settle asks whether an attempt began, and fences it if it did not.
+type Settle struct {
+	Attempt     mesh.AttemptID
+	Incarnation mesh.Incarnation
+}
+
+// Settled is the answer to Settle.
+type Settled struct {
+	NotRun bool // the attempt never began and never will
+}
+
+// SettleRing leads from the peers' edge to the slots duty.
+type SettleRing = kernel.Ring[kernel.Ask[Settle, Settled]]
--- /dev/null
+++ b/port/links.go
@@ -0,0 +1,62 @@
+package port
+
+import (
+	"teaselring/kernel"
+	"teaselring/mesh"
+	"teaselring/wire"
+)
+
+// Push asks the links duty to send a message.
+type Push struct {
+	To      mesh.NodeID // empty: every link
+	Except  mesh.NodeID // the link that the message came from
+	Message wire.Message
+}
+
+// PushRing leads to the links duty. It replaces the oldest item when full:
+// heartbeats repair what was not sent.
+type PushRing = kernel.Ring[Push]
+
+// LinkEvent says that a link came up or went down.
+type LinkEvent struct {
+	Up     bool
+	Hello  wire.Hello // of the peer
+	Silent bool       // it went down because the peer was silent for the heartbeat timeout
+}
+
+// In is a message or event of one link.
+type In[T any] struct {
+	From    mesh.NodeID
+	Message T
+}
+
+// ConfigInbox leads from link readers to the config duty: ConfigOffer,
+// ConfigFetch, ConfigData, ConfigAck, Heartbeat and Hello.
+type ConfigInbox struct {
+	*kernel.Ring[In[wire.Message]]
+}
+
+// MembersInbox leads from link readers to the members duty: Members,
+// MembersRequest, Heartbeat and LinkEvent (as Event).
+type MembersInbox struct {
+	*kernel.Ring[MembersIn]
+}
+
+// MembersIn is a message or a link event; exactly one is set.
+type MembersIn struct {
+	From    mesh.NodeID
+	Message wire.Message
+	Event   *LinkEvent
+}
+
+// MovesInbox leads from link readers to the guard duty: Moves and EvidenceReport.
+type MovesInbox = kernel.Ring[MovesIn]
+
+// MovesIn is a message about moves.
+type MovesIn struct {
+	From    mesh.NodeID
+	Message wire.Message
+}
+
+// CrashInbox leads from link readers to the slots duty.
+type CrashInbox = kernel.Ring[mesh.Crash]
--- /dev/null
+++ b/port/members.go
@@ -0,0 +1,38 @@
+package port
+
+import (
+	"net/netip"
+
+	"teaselring/kernel"
+	"teaselring/mesh"
+)
+
+// ViewCell holds the members known. Its owner is the members duty.
+type ViewCell = kernel.Cell[mesh.View]
+
+// Local is the state of the upstream beside the node.
+type Local struct {
+	Endpoint mesh.Endpoint
+	Address  netip.AddrPort // where it serves calls
+}
+
+// LocalCell holds the state of the upstream beside the node; nil before it
+// announced itself. Its owner is the announce duty.
+type LocalCell = kernel.Cell[Local]
+
+// LocalRing leads from the announce duty to the members duty. A newer state
+// replaces an older one.
+type LocalRing = kernel.Ring[Local]
+
+// Leaving asks the members duty to spread that the node is leaving and
+// returns once every link has been told.
+type Leaving struct{}
+
+// LeavingRing leads from shutdown hooks to the members duty.
+type LeavingRing = kernel.Ring[kernel.Ask[Leaving, struct{}]]
+
+// Drain asks the announce duty to treat the local upstream as draining.
+type Drain struct{ By string }
+
+// DrainRing leads from the operators' edge to the announce duty.
+type DrainRing = kernel.Ring[kernel.Ask[Drain, struct{}]]
--- /dev/null
+++ b/wire/messages.go
@@ -0,0 +1,97 @@
+// Package wire defines the messages that nodes exchange over their links and
+// their versioned CBOR encoding.
+package wire
+
+import "teaselring/mesh"
+
+// Protocol is the version of the messages. Nodes with different protocols
+// don't link.
+const Protocol = 1
+
+// Message is one of the message types of this package.
+type Message interface{ messageType() uint8 }
+
+// Hello is the first message of both ends of a link.
+type Hello struct {
+	Protocol    uint             `cbor:"1,keyasint"`
+	Node        mesh.NodeID      `cbor:"2,keyasint"`
+	Incarnation mesh.Incarnation `cbor:"3,keyasint"`
+	Zone        mesh.Zone        `cbor:"4,keyasint"`
+	Region      mesh.Region      `cbor:"5,keyasint"`
+	PeerAddress string           `cbor:"6,keyasint"`
+	InForce     mesh.Version     `cbor:"7,keyasint"`
+	ViewDigest  uint64           `cbor:"8,keyasint"`
+}
+
+// Heartbeat shows that the sender is alive and what it holds, so that the
+// receiver can repair what it missed.
+type Heartbeat struct {
+	Sequence   uint64       `cbor:"1,keyasint"`
+	InForce    mesh.Version `cbor:"2,keyasint"`
+	ViewDigest uint64       `cbor:"3,keyasint"`
+}
+
+// Members carries changed member entries, or the whole view when Full is set.
+type Members struct {
+	Full    bool          `cbor:"1,keyasint"`
+	Members []mesh.Member `cbor:"2,keyasint"`
+}
+
+// MembersRequest asks for the whole view.
+type MembersRequest struct{}
+
+// ConfigOffer announces a configuration version that the sender holds.
+type ConfigOffer struct {
+	Version mesh.Version `cbor:"1,keyasint"`
+	Digest  mesh.Digest  `cbor:"2,keyasint"`
+}
+
+// ConfigFetch asks for the newest version, as a delta against Have if possible.
+type ConfigFetch struct {
+	Have mesh.Version `cbor:"1,keyasint"`
+}
+
+// ConfigData carries a version whole (Base 0) or as a delta against Base. A
+// large one comes in parts, numbered from 0, in order on one link.
+type ConfigData struct {
+	Base    mesh.Version     `cbor:"1,keyasint"`
+	Version mesh.Version     `cbor:"2,keyasint"`
+	Digest  mesh.Digest      `cbor:"3,keyasint"`
+	Records []mesh.Record    `cbor:"4,keyasint"`
+	Removed []mesh.RecordKey `cbor:"5,keyasint"`
+	Part    int              `cbor:"6,keyasint"`
+	Parts   int              `cbor:"7,keyasint"`
+}
+
+// ConfigAck confirms that the sender holds the version.
+type ConfigAck struct {
+	Version mesh.Version `cbor:"1,keyasint"`
+}
+
+// Moves carries the newest known states of moves.
+type Moves struct {
+	Moves []mesh.Move `cbor:"1,keyasint"`
+}
+
+// EvidenceReport carries what one node saw of a move.
+type EvidenceReport struct {
+	Evidence mesh.Evidence `cbor:"1,keyasint"`
+}
+
+// Quarantine reports a crash of an upstream process with the fingerprints of
+// the requests that it was running.
+type Quarantine struct {
+	Crash mesh.Crash `cbor:"1,keyasint"`
+}
+
+func (Hello) messageType() uint8          { return 1 }
+func (Heartbeat) messageType() uint8      { return 2 }
+func (Members) messageType() uint8        { return 3 }
+func (MembersRequest) messageType() uint8 { return 4 }
+func (ConfigOffer) messageType() uint8    { return 5 }
+func (ConfigFetch) messageType() uint8    { return 6 }
+func (ConfigData) messageType() uint8     { return 7 }
+func (ConfigAck) messageType() uint8      { return 8 }
+func (Moves) messageType() uint8          { return 9 }
+func (EvidenceReport) messageType() uint8 { return 10 }
+func (Quarantine) messageType() uint8     { return 11 }
