--- /dev/null
+++ b/plugins/callforward/entry.go
@@ -0,0 +1,109 @@
+package callforward
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net/http"
+	"strconv"
+	"time"
+
+	"teaselring/kernel"
+	"teaselring/mesh"
+	"teaselring/port"
+	"teaselring/result"
+)
+
+// entry accepts callers' requests and carries each to an owner node.
+type entry struct {
+	entryIn
+	settleTimeout time.Duration
+}
+
+func newEntry(s *Settings, in entryIn) *entry {
+	return &entry{entryIn: in, settleTimeout: s.SettleTimeout.Duration}
+}
+
+// ServeHTTP serves one call.
+func (e *entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	now := time.Now()
+	route, err := e.route(r)
+	if err != nil {
+		port.Refuse(w, err)
+		return
+	}
+	timeout := callTimeout(r, route)
+	ctx, patience, cancel := withPatience(r.Context(), route.Class, timeout, timeout)
+	defer cancel()
+	body, err := newCallBody(r, patience)
+	if err != nil {
+		port.Refuse(w, result.BadRequest.Errorf("the request's body broke off: %v", err))
+		return
+	}
+	c := &exchange{
+		entry: e, request: r, patience: patience, body: body,
+		call: mesh.Call{
+			Method: r.Method, Path: r.URL.Path, Caller: mesh.CallerID(r.Header.Get(headerCaller)),
+			Key: r.Header.Get(headerKey), Class: route.Class, Service: route.Service, Route: route.ID,
+			Deadline: now.Add(timeout), Fingerprint: fingerprint(r, body),
+		},
+	}
+	c.serve(ctx, w)
+}
+
+func (e *entry) route(r *http.Request) (*mesh.Route, error) {
+	snapshot := e.Snapshot.Load()
+	if snapshot == nil {
+		return nil, result.NoConfiguration.Err()
+	}
+	route := snapshot.Route(r.Method, r.URL.Path)
+	if route == nil {
+		return nil, result.NoRoute.Errorf("no route matches %s %s in version %d", r.Method, r.URL.Path, snapshot.Version)
+	}
+	return route, nil
+}
+
+// callTimeout is the route's timeout, or less when the caller has less left.
+func callTimeout(r *http.Request, route *mesh.Route) time.Duration {
+	left, err := strconv.ParseInt(r.Header.Get(headerDeadline), 10, 64)
+	if err != nil {
+		return route.Timeout
+	}
+	return min(route.Timeout, max(time.Duration(left)*time.Millisecond, 0))
+}
+
+func newAttemptID() mesh.AttemptID {
+	var b [16]byte
+	_, _ = rand.Read(b[:])
+	return mesh.AttemptID(hex.EncodeToString(b[:]))
+}
+
+// pickError maps the end of the call's context to a "not run" code: without a
+// target nothing was sent.
+func pickError(ctx context.Context, err error) error {
+	if ctx.Err() == nil {
+		return err
+	}
+	if context.Cause(ctx) == errDeadline {
+		return result.DeadlineBefore.Err()
+	}
+	return result.CallerGone.Err()
+}
+
+// report hands an outcome to the router and waits for a place: a lost outcome
+// would leave its attempt counted as in flight.
+func (e *entry) report(f port.Finished) {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	if err := e.Outcomes.Send(ctx, f); err != nil {
+		e.Logger.Error().Str("call", string(f.Outcome.Route)).Err(err).Msg("outcome not recorded")
+	}
+}
+
+func (e *entry) pick(ctx context.Context, p port.Pick) (mesh.Target, error) {
+	target, err := kernel.Do(ctx, e.Picks, p)
+	if err != nil {
+		return target, pickError(ctx, err)
+	}
+	return target, nil
+}
--- /dev/null
+++ b/plugins/callforward/exchange.go
@@ -0,0 +1,172 @@
+package callforward
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"teaselring/mesh"
+	"teaselring/port"
+	"teaselring/result"
+)
+
+// exchange is one call at its entry node, over all its attempts.
+type exchange struct {
+	*entry
+	request  *http.Request
+	patience *patience
+	body     *callBody
+	call     mesh.Call
+	tried    []mesh.NodeID
+}
+
+func (c *exchange) serve(ctx context.Context, w http.ResponseWriter) {
+	answer, outcome, err := c.attempt(ctx)
+	if err != nil {
+		c.report(port.Finished{Outcome: outcome, CallEnded: true, NoAttempt: outcome.Target.Node == ""})
+		port.Refuse(w, err)
+		return
+	}
+	defer answer.Body.Close()
+	// The deferred call also runs when copyAnswer aborts the connection.
+	defer func() { c.report(port.Finished{Outcome: outcome, CallEnded: true}) }()
+	copyAnswer(w, answer, c.patience)
+}
+
+// attempt picks a target and runs the call there once.
+func (c *exchange) attempt(ctx context.Context) (*http.Response, mesh.Outcome, error) {
+	outcome := mesh.Outcome{Route: c.call.Route, Caller: c.call.Caller, Class: c.call.Class}
+	first := len(c.tried) == 0
+	target, err := c.pick(ctx, port.Pick{Call: c.call, Tried: c.tried, First: first, Retried: !first})
+	if err != nil {
+		return nil, outcome, err
+	}
+	c.tried = append(c.tried, target.Node)
+	outcome.Target = target
+	began := time.Now()
+	answer, load, err := c.run(ctx, &attempt{id: newAttemptID(), call: c.call, target: target})
+	outcome.Duration = time.Since(began)
+	outcome.Load = load
+	describe(&outcome, answer, err)
+	return answer, outcome, err
+}
+
+// describe fills in what the attempt came to.
+func describe(o *mesh.Outcome, answer *http.Response, err error) {
+	if answer != nil {
+		o.Status = answer.StatusCode
+		o.Failed = answer.StatusCode >= http.StatusInternalServerError
+		return
+	}
+	code := result.Of(err)
+	o.Code = code.Number
+	switch code {
+	case result.Shed, result.QueueFull, result.QueueTimeout, result.ClassLimit:
+		o.Shed = true
+	case result.UpstreamCrashed:
+		o.Failed, o.Crashed = true, true
+	case result.ConnectFailed, result.ConnectionLost, result.DeadlineDuring, result.Internal:
+		o.Failed = true
+	}
+}
+
+// run sends the attempt to its target: over the peers' connection, or straight
+// to the upstream beside this node.
+func (c *exchange) run(ctx context.Context, a *attempt) (*http.Response, *mesh.Load, error) {
+	request := c.request.Clone(ctx)
+	request.Body = c.body.forAttempt()
+	request.RequestURI = ""
+	removeHeaders(request.Header, hopHeaders, internalHeaders)
+	if a.target.Node == c.Identity.Node {
+		answer, load, err := c.Owner.run(ctx, a, request)
+		return answer, &load, err
+	}
+	return c.runRemote(ctx, a, request)
+}
+
+func (c *exchange) runRemote(ctx context.Context, a *attempt, request *http.Request) (*http.Response, *mesh.Load, error) {
+	var connected atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	request = request.WithContext(traced)
+	a.write(request.Header, time.Now())
+	request.URL.Scheme = "https"
+	request.URL.Host = a.target.PeerAddress
+	request.URL.Path = callPrefix + request.URL.Path
+	if request.URL.RawPath != "" {
+		request.URL.RawPath = callPrefix + request.URL.RawPath
+	}
+	began := time.Now()
+	answer, err := c.Peers.Transport.RoundTrip(request)
+	if err != nil {
+		return nil, nil, c.settleFailure(ctx, a, err, connected.Load(), began)
+	}
+	load := parseLoad(answer.Header.Get(headerLoad))
+	if number := answer.Header.Get(port.CodeHeader); number != "" {
+		defer answer.Body.Close()
+		return nil, load, readRefusal(answer, number)
+	}
+	removeHeaders(answer.Header, hopHeaders, internalHeaders)
+	return answer, load, nil
+}
+
+// settleHorizon is the greatest age of an attempt at which its owner node is
+// asked whether it began. Owner nodes remember attempts for longer, so that an
+// attempt they don't know was never admitted.
+const settleHorizon = time.Minute
+
+// settleFailure finds out whether an attempt without an answer began. Without
+// proof it is answered "may have run".
+func (c *exchange) settleFailure(ctx context.Context, a *attempt, cause error, connected bool, began time.Time) error {
+	if !connected {
+		return result.ConnectFailed.Errorf("node %s: %v", a.target.Node, cause)
+	}
+	if time.Since(began) < settleHorizon && c.askFenced(a) {
+		return result.Fenced.Errorf("node %s: %v", a.target.Node, cause)
+	}
+	if context.Cause(ctx) == errDeadline {
+		return errDeadline
+	}
+	return result.ConnectionLost.Errorf("node %s: %v", a.target.Node, cause)
+}
+
+// askFenced reports whether the owner node confirmed that the attempt never
+// began and never will. The broken connection has left the client's pool, so
+// that the question travels on a fresh one.
+func (c *exchange) askFenced(a *attempt) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), c.settleTimeout)
+	defer cancel()
+	url := "https://" + a.target.PeerAddress + settlePath
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
+	if err != nil {
+		return false
+	}
+	request.Header.Set(headerAttempt, string(a.id))
+	request.Header.Set(headerIncarnation, strconv.FormatUint(uint64(a.target.Incarnation), 10))
+	answer, err := c.Peers.Do(request)
+	if err != nil {
+		return false
+	}
+	defer answer.Body.Close()
+	var settled settleAnswer
+	return answer.StatusCode == http.StatusOK &&
+		json.NewDecoder(answer.Body).Decode(&settled) == nil && settled.NotRun
+}
+
+// readRefusal turns an owner node's refusal back into an error.
+func readRefusal(answer *http.Response, number string) error {
+	n, err := strconv.Atoi(number)
+	if err != nil {
+		return result.Internal.Errorf("owner node sent the code %q", number)
+	}
+	var refusal port.Refusal
+	if err := json.NewDecoder(answer.Body).Decode(&refusal); err != nil {
+		return result.ByNumber(n).Err()
+	}
+	return &result.Error{Code: result.ByNumber(n), Message: refusal.Message, Details: refusal.Details}
+}
--- /dev/null
+++ b/plugins/callforward/owner.go
@@ -0,0 +1,234 @@
+package callforward
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"teaselring/kernel"
+	"teaselring/mesh"
+	"teaselring/port"
+	"teaselring/result"
+)
+
+// owner runs attempts on the upstream beside the node.
+type owner struct {
+	ownerIn
+	upstream *http.Transport
+}
+
+func newOwner(s *Settings, in ownerIn) *owner {
+	return &owner{ownerIn: in, upstream: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		MaxIdleConnsPerHost: s.UpstreamConnections,
+		MaxConnsPerHost:     s.UpstreamConnections,
+		IdleConnTimeout:     30 * time.Second,
+		DisableCompression:  true,
+	}}
+}
+
+// ServeHTTP runs an attempt that another node sent.
+func (o *owner) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	r.URL.Path = strings.TrimPrefix(r.URL.Path, callPrefix)
+	r.URL.RawPath = strings.TrimPrefix(r.URL.RawPath, callPrefix)
+	a, err := readAttempt(r, time.Now())
+	if err != nil {
+		port.Refuse(w, err)
+		return
+	}
+	left := time.Until(a.call.Deadline)
+	ctx, patience, cancel := withPatience(r.Context(), a.call.Class, left, left)
+	defer cancel()
+	if r.Body != http.NoBody {
+		r.Body = &trackedBody{ReadCloser: r.Body, patience: patience, touched: new(atomic.Bool)}
+	}
+	answer, load, err := o.run(ctx, a, r)
+	if load.Limit > 0 {
+		w.Header().Set(headerLoad, formatLoad(load))
+	}
+	if err != nil {
+		port.Refuse(w, err)
+		return
+	}
+	defer answer.Body.Close()
+	copyAnswer(w, answer, patience)
+}
+
+// run admits the attempt, claims its key and sends it to the upstream. The
+// slot is released when the answer's body is closed.
+func (o *owner) run(ctx context.Context, a *attempt, r *http.Request) (*http.Response, mesh.Load, error) {
+	admitted, err := kernel.Do(ctx, o.Admit, port.Admit{
+		Call: a.call, Attempt: a.id, Incarnation: a.target.Incarnation, Version: a.target.Version,
+	})
+	if err != nil {
+		return nil, mesh.Load{}, admissionError(ctx, err)
+	}
+	answer, err := o.runAdmitted(ctx, a, r, admitted)
+	if err != nil {
+		e := result.From(err)
+		o.release(port.Released{Attempt: a.id, Shed: e.Code == result.Shed, Lost: e.Code == result.UpstreamCrashed})
+		return nil, admitted.Load, err
+	}
+	answer.Body = &releasingBody{ReadCloser: answer.Body, release: func() {
+		o.release(port.Released{Attempt: a.id, Status: answer.StatusCode})
+	}}
+	return answer, admitted.Load, nil
+}
+
+// admissionError maps the end of the caller's context to a "not run" code: an
+// attempt that was not admitted has not begun.
+func admissionError(ctx context.Context, err error) error {
+	if ctx.Err() == nil {
+		return err
+	}
+	if context.Cause(ctx) == errDeadline {
+		return result.DeadlineBefore.Err()
+	}
+	return result.CallerGone.Err()
+}
+
+func (o *owner) runAdmitted(ctx context.Context, a *attempt, r *http.Request, admitted port.Admitted) (*http.Response, error) {
+	claim := port.Claim{Service: a.call.Service, Caller: a.call.Caller, Key: a.call.Key, Attempt: a.id}
+	claimed := a.call.Class == mesh.ClassOnce && a.call.Key != ""
+	if claimed {
+		if err := o.claim(ctx, claim); err != nil {
+			return nil, err
+		}
+	}
+	answer, err := o.send(ctx, a, r, admitted)
+	if claimed {
+		o.settleClaim(claim, answer, err)
+	}
+	return answer, err
+}
+
+func (o *owner) claim(ctx context.Context, c port.Claim) error {
+	if o.Claims == nil {
+		return result.KeyStoreDown.Errorf("the node has no plug-in for once-only calls")
+	}
+	_, err := kernel.Do(ctx, o.Claims, c)
+	return err
+}
+
+// settleClaim waits for the claim to be freed when the call did not run, so
+// that a caller that repeats it at once is not refused.
+func (o *owner) settleClaim(c port.Claim, answer *http.Response, err error) {
+	s := port.Settlement{Claim: c}
+	switch {
+	case err == nil:
+		s.Status = answer.StatusCode
+	case result.Of(err).Ran == result.NotRun:
+		s.NotRun = true
+	default:
+		return // the outcome is unknown: the claim stays as it is
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), settlementTimeout)
+	defer cancel()
+	if !s.NotRun {
+		cancel() // only hand it over; nobody waits for the record of the status
+	}
+	_, _ = kernel.Do(ctx, o.Settlements, s)
+}
+
+// settlementTimeout bounds the wait for a freed claim. A claim that was not
+// freed in time is answered "may have run", which is the safe side.
+const settlementTimeout = 500 * time.Millisecond
+
+// send runs the attempt on the upstream. Errors say whether it may have run.
+func (o *owner) send(ctx context.Context, a *attempt, r *http.Request, admitted port.Admitted) (*http.Response, error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	request := r.Clone(ctx)
+	if !a.call.Idempotent() && request.Body == http.NoBody {
+		request.Body = onceOnly{http.NoBody}
+	}
+	request.URL.Scheme = "http"
+	request.URL.Host = admitted.Upstream.String()
+	request.RequestURI = ""
+	removeHeaders(request.Header, hopHeaders, internalHeaders)
+	a.write(request.Header, time.Now())
+	answer, err := o.upstream.RoundTrip(request)
+	if err != nil {
+		return nil, upstreamError(ctx, err, connected.Load())
+	}
+	removeHeaders(answer.Header, hopHeaders, internalHeaders)
+	if answer.StatusCode == http.StatusServiceUnavailable && answer.Header.Get(headerShed) != "" {
+		answer.Body.Close()
+		return nil, result.Shed.Err()
+	}
+	return answer, nil
+}
+
+// upstreamError tells apart "nothing was sent" from "may have run".
+func upstreamError(ctx context.Context, err error, connected bool) error {
+	if !connected {
+		return result.ConnectFailed.Errorf("upstream: %v", err)
+	}
+	if cause := context.Cause(ctx); cause == errDeadline {
+		return errDeadline
+	}
+	if ctx.Err() != nil {
+		return result.ConnectionLost.Errorf("the caller left during the call")
+	}
+	return result.UpstreamCrashed.Errorf("upstream: %v", err)
+}
+
+func (o *owner) release(released port.Released) {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	if err := o.Release.Send(ctx, released); err != nil {
+		o.Logger.Error().Str("call", string(released.Attempt)).Err(err).Msg("slot not released")
+	}
+}
+
+// releaseTimeout is far above the time that the slots duty needs for a full ring.
+const releaseTimeout = 10 * time.Second
+
+// releasingBody releases the slot once, when the answer was read or given up.
+type releasingBody struct {
+	io.ReadCloser
+	release func()
+	done    atomic.Bool
+}
+
+// Close closes the body and releases the slot.
+func (b *releasingBody) Close() error {
+	err := b.ReadCloser.Close()
+	if !b.done.Swap(true) {
+		b.release()
+	}
+	return err
+}
+
+// settle answers whether an attempt began on this node and fences it if not.
+func (o *owner) settle(w http.ResponseWriter, r *http.Request) {
+	incarnation, err := strconv.ParseUint(r.Header.Get(headerIncarnation), 10, 64)
+	id := r.Header.Get(headerAttempt)
+	if err != nil || id == "" {
+		port.Refuse(w, result.BadRequest.Errorf("headers %s and %s are required", headerAttempt, headerIncarnation))
+		return
+	}
+	settled, err := kernel.Do(r.Context(), o.Settle, port.Settle{
+		Attempt: mesh.AttemptID(id), Incarnation: mesh.Incarnation(incarnation),
+	})
+	if err != nil {
+		port.Refuse(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(settleAnswer{NotRun: settled.NotRun})
+}
+
+// settleAnswer is the body of an answer to a settle request.
+type settleAnswer struct {
+	NotRun bool `json:"not_run"`
+}
--- /dev/null
+++ b/plugins/edgeoperators/handlers.go
@@ -0,0 +1,121 @@
+package edgeoperators
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"net/http"
+	"strings"
+
+	"github.com/gin-gonic/gin"
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+
+	"teaselring/port"
+	"teaselring/result"
+)
+
+// operators serves the routes of the edge itself.
+type operators struct {
+	listenerIn
+	settings *Settings
+}
+
+// require refuses requests whose token does not allow the role. The name in the
+// X-Operator header goes to the audit trail; it is a statement of the holder of
+// the token, not a proof.
+func (o *operators) require(needed port.Role) gin.HandlerFunc {
+	return func(c *gin.Context) {
+		role := o.roleOf(c.GetHeader("Authorization"))
+		switch {
+		case needed == port.RoleNone || role >= needed:
+			port.SetOperatorName(c, operatorName(c, role))
+			c.Next()
+		case role == port.RoleNone:
+			abort(c, result.Unauthenticated.Err())
+		default:
+			abort(c, result.Forbidden.Err())
+		}
+	}
+}
+
+func (o *operators) roleOf(authorization string) port.Role {
+	token, ok := strings.CutPrefix(authorization, "Bearer ")
+	switch {
+	case !ok:
+		return port.RoleNone
+	case equalToken(token, o.settings.ChangeToken):
+		return port.RoleChange
+	case equalToken(token, o.settings.ReadToken):
+		return port.RoleRead
+	default:
+		return port.RoleNone
+	}
+}
+
+// equalToken compares digests, so that the time taken says nothing about the
+// token's length or content.
+func equalToken(given, expected string) bool {
+	if expected == "" {
+		return false
+	}
+	a, b := sha256.Sum256([]byte(given)), sha256.Sum256([]byte(expected))
+	return subtle.ConstantTimeCompare(a[:], b[:]) == 1
+}
+
+func operatorName(c *gin.Context, role port.Role) string {
+	name := c.GetHeader("X-Operator")
+	if name == "" || len(name) > 64 {
+		name = "unnamed"
+	}
+	if role == port.RoleChange {
+		return name + " (change)"
+	}
+	return name + " (read)"
+}
+
+func (o *operators) ready(c *gin.Context) {
+	failed := gin.H{}
+	for _, check := range o.Checks {
+		if err := check.Check(); err != nil {
+			failed[check.Name] = err.Error()
+		}
+	}
+	if len(failed) > 0 {
+		c.JSON(http.StatusServiceUnavailable, gin.H{"status": "not ready", "failed": failed})
+		return
+	}
+	c.JSON(http.StatusOK, gin.H{"status": "ready"})
+}
+
+func (o *operators) metrics(c *gin.Context) {
+	c.Header("Content-Type", "application/json")
+	metrics.WriteJSONOnce(o.Metrics, c.Writer)
+}
+
+// setLogLevel changes the level of the log lines at run time.
+func (o *operators) setLogLevel(c *gin.Context) {
+	level := log.ParseLevel(c.Query("level"))
+	switch level {
+	case log.DebugLevel, log.InfoLevel, log.WarnLevel, log.ErrorLevel:
+		o.Logger.SetLevel(level)
+		c.JSON(http.StatusOK, gin.H{"level": level.String()})
+	default:
+		abort(c, result.BadRequest.Errorf("query parameter level = %q; allowed is debug, info, warn or error", c.Query("level")))
+	}
+}
+
+func (o *operators) unknown(c *gin.Context) {
+	abort(c, result.BadRequest.Errorf("%s %s is not part of the operators' API", c.Request.Method, c.Request.URL.Path))
+}
+
+func limitBody(limit int64) gin.HandlerFunc {
+	return func(c *gin.Context) {
+		c.Request.Body = http.MaxBytesReader(c.Writer, c.Request.Body, limit)
+		c.Next()
+	}
+}
+
+func abort(c *gin.Context, err error) {
+	port.Refuse(c.Writer, err)
+	c.Abort()
+}
--- a/port/edges.go
+++ b/port/edges.go
@@ -71,3 +71,7 @@
 func SetOperatorName(c *gin.Context, name string) { c.Set(operatorKey, name) }
 
 const operatorKey = "operator"
+
+// CallEntry handles callers' requests. It is provided by the call path and
+// served by the callers' edge.
+type CallEntry struct{ Handler http.Handler }
