Report answers that no asker took, and add the router's retry ring

An Ask whose asker left after its query was taken from the ring kept what the receiver had reserved for it: an attempt in flight, a slot, a caller's place.

port.MayRetry and RetryRing let the callers' edge ask whether an attempt may be tried again; Pick.Draw and Settle.Deadline are optional.

--- a/kernel/ring_test.go
+++ b/kernel/ring_test.go
@@ -51,6 +51,29 @@
 		ask.Answer(2)
 	})
 
+	It("tells the receiver that the asker has left, so that a reserved place is not lost", func() {
+		ring := NewRing[Ask[int, int]]("asks", 1, Refuse)
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, err := Do(ctx, ring, 1)
+		Expect(err).To(HaveOccurred())
+		ask := <-ring.C()
+		Expect(ask.Closed()).To(BeTrue())
+		Expect(ask.Answer(1)).To(BeFalse())
+	})
+
+	It("gives each answer either to the asker or back to the receiver", func() {
+		ring := NewRing[Ask[int, int]]("asks", 1, Refuse)
+		for range 2000 {
+			ctx, cancel := context.WithCancel(context.Background())
+			taken := make(chan bool, 1)
+			go func() { taken <- (<-ring.C()).Answer(7) }()
+			go cancel()
+			answer, err := Do(ctx, ring, 1)
+			Expect(err == nil && answer == 7).To(Equal(<-taken))
+		}
+	})
+
 	It("carries the receiver's error to the asker", func() {
 		ring := NewRing[Ask[int, int]]("asks", 1, Refuse)
 		go func() { (<-ring.C()).Fail(result.NoEndpoint.Err()) }()
--- a/port/calls.go
+++ b/port/calls.go
@@ -2,17 +2,24 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"teaselring/kernel"
 	"teaselring/mesh"
 )
 
-// Pick asks the router for an endpoint.
+// Pick asks the router for an endpoint. An answer counts one attempt in flight
+// until its Finished. A Pick that fails holds nothing, neither an attempt nor
+// the caller's place; nor does one whose asker left before the answer.
 type Pick struct {
 	Call    mesh.Call
 	Tried   []mesh.NodeID // nodes that earlier attempts of the call used
 	Retried bool          // a retry of the call, to be charged to the caller's budget
 	First   bool          // the first attempt, counted against the caller's limit
+	// Draw is the random number of the call, equal for all of its attempts, so
+	// that a retry keeps its upstream version during a move. 0: derived from
+	// the deadline, fingerprint and caller.
+	Draw uint64
 }
 
 // PickRing leads from the callers' edge to the router.
@@ -31,7 +38,32 @@
 	NoAttempt bool
 }
 
-// Admit asks the owner node's slots duty to start an attempt.
+// MayRetry asks the router whether a failed attempt may be tried again. The
+// caller's budget is charged only by the Pick with Retried that follows.
+type MayRetry struct {
+	Call         mesh.Call
+	Outcome      mesh.Outcome
+	Attempts     int  // made so far, at least 1
+	RetriedBelow bool // the answer carried Teasel-Retried
+	RetriedAbove bool // the caller's request carried Teasel-Retried
+}
+
+// RetryVerdict is the answer to MayRetry.
+type RetryVerdict struct {
+	Retry bool
+	Wait  time.Duration // to wait before the Pick of the next attempt
+	// Mark is set when the answer to the caller must carry Teasel-Retried,
+	// because the decision about retries was taken here or below.
+	Mark bool
+	Why  string // for logs and the debug header
+}
+
+// RetryRing leads from the callers' edge to the router.
+type RetryRing = kernel.Ring[kernel.Ask[MayRetry, RetryVerdict]]
+
+// Admit asks the owner node's slots duty to start an attempt. The answer comes
+// when a slot is free; an asker that leaves before never starts. An admitted
+// attempt holds its slot until its Released.
 type Admit struct {
 	Call        mesh.Call
 	Attempt     mesh.AttemptID
@@ -65,6 +97,9 @@
 type Settle struct {
 	Attempt     mesh.AttemptID
 	Incarnation mesh.Incarnation
+	// Deadline of the attempt, until which a fence is kept. Zero: the longest
+	// timeout of a route.
+	Deadline time.Time
 }
 
 // Settled is the answer to Settle.
