--- a/plugins/callforward/exchange.go
+++ b/plugins/callforward/exchange.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"teaselring/kernel"
 	"teaselring/mesh"
 	"teaselring/port"
 	"teaselring/result"
@@ -22,21 +23,87 @@
 	body     *callBody
 	call     mesh.Call
 	tried    []mesh.NodeID
+	// mayHaveRun is the error of an earlier attempt that may have run. A later
+	// refusal must not be answered "not run" then.
+	mayHaveRun error
 }
 
+// serve runs attempts until one is answered or the router allows no other. A
+// failed attempt is reported before the next begins, so that the router counts
+// it no longer.
 func (c *exchange) serve(ctx context.Context, w http.ResponseWriter) {
-	answer, outcome, err := c.attempt(ctx)
-	if err != nil {
-		c.report(port.Finished{Outcome: outcome, CallEnded: true, NoAttempt: outcome.Target.Node == ""})
+	for {
+		answer, outcome, err := c.attempt(ctx)
+		if err == nil {
+			c.deliver(w, answer, outcome)
+			return
+		}
+		err = c.truthful(err)
+		none := outcome.Target.Node == ""
+		verdict := c.mayRetry(ctx, outcome, none)
+		if verdict.Retry {
+			c.report(port.Finished{Outcome: outcome})
+			if sleep(ctx, verdict.Wait) == nil {
+				continue
+			}
+			c.report(port.Finished{Outcome: outcome, CallEnded: true, NoAttempt: true})
+		} else if !none || len(c.tried) > 0 {
+			c.report(port.Finished{Outcome: outcome, CallEnded: true, NoAttempt: none})
+		}
+		if verdict.Mark {
+			w.Header().Set(headerRetried, "1")
+		}
 		port.Refuse(w, err)
 		return
 	}
+}
+
+// truthful returns what may be said of the call as a whole, given the error of
+// its last attempt.
+func (c *exchange) truthful(err error) error {
+	if result.Of(err).Ran != result.NotRun {
+		c.mayHaveRun = err
+	} else if c.mayHaveRun != nil {
+		return c.mayHaveRun
+	}
+	return err
+}
+
+// deliver copies the answer to the caller. The report is deferred because
+// copyAnswer aborts the connection by a panic.
+func (c *exchange) deliver(w http.ResponseWriter, answer *http.Response, outcome mesh.Outcome) {
 	defer answer.Body.Close()
-	// The deferred call also runs when copyAnswer aborts the connection.
 	defer func() { c.report(port.Finished{Outcome: outcome, CallEnded: true}) }()
 	copyAnswer(w, answer, c.patience)
 }
 
+// mayRetry asks the router. A body that was partly streamed can't be sent
+// again, whatever the router would allow.
+func (c *exchange) mayRetry(ctx context.Context, outcome mesh.Outcome, none bool) port.RetryVerdict {
+	if none || !c.body.replayable() {
+		return port.RetryVerdict{}
+	}
+	verdict, err := kernel.Do(ctx, c.Retries, port.MayRetry{
+		Call: c.call, Outcome: outcome, Attempts: len(c.tried),
+		RetriedAbove: c.request.Header.Get(headerRetried) != "",
+	})
+	if err != nil {
+		return port.RetryVerdict{}
+	}
+	return verdict
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // attempt picks a target and runs the call there once.
 func (c *exchange) attempt(ctx context.Context) (*http.Response, mesh.Outcome, error) {
 	outcome := mesh.Outcome{Route: c.call.Route, Caller: c.call.Caller, Class: c.call.Class}
--- a/plugins/callforward/headers.go
+++ b/plugins/callforward/headers.go
@@ -31,6 +31,7 @@
 	headerFingerprint = "Teasel-Fingerprint"
 	headerLoad        = "Teasel-Load"
 	headerShed        = "Teasel-Shed"
+	headerRetried     = "Teasel-Retried"
 	headerKey         = "Idempotency-Key"
 )
 
--- a/plugins/callforward/setup.go
+++ b/plugins/callforward/setup.go
@@ -75,6 +75,7 @@
 	Snapshot *port.SnapshotCell
 	Picks    *port.PickRing
 	Outcomes *port.OutcomeRing
+	Retries  *port.RetryRing
 	Peers    port.PeerClient
 	Owner    *owner
 }
