Add the platform client, the platform in memory and its stand-in

Cause: configuration, moves and keys need the table service and the object store, and tests need to break them. Conclusion: plug-ins can use port.Table against a platform with faults.

--- /dev/null
+++ b/plugins/platformhttp/setup.go
@@ -0,0 +1,45 @@
+// Package platformhttp is the plug-in platform.http: a client of the
+// platform's table service and object store over HTTP with JSON.
+package platformhttp
+
+import (
+	"net/netip"
+	"time"
+
+	"go.uber.org/fx"
+
+	"teaselring/kernel"
+	"teaselring/port"
+)
+
+// Settings are the settings of platform.http.
+type Settings struct {
+	// Address is the IP:port of the platform. It has no default.
+	Address netip.AddrPort `toml:"address"`
+	// Timeout bounds each call, from connecting to the last byte of the answer.
+	// Default 2s.
+	Timeout kernel.Duration `toml:"timeout"`
+}
+
+// Validate implements kernel.Validator.
+func (s *Settings) Validate() error {
+	if !s.Address.IsValid() || s.Address.Port() == 0 {
+		return &kernel.FieldError{Key: "address", Value: s.Address, Allowed: "the IP:port of the platform"}
+	}
+	return kernel.SpanInRange("timeout", s.Timeout, 100*time.Millisecond, 30*time.Second)
+}
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name:     "platform.http",
+		Doc:      "Reads and writes the platform's tables and objects over HTTP.",
+		Settings: func() kernel.Validator { return &Settings{Timeout: kernel.Span(2 * time.Second)} },
+		Module: func(settings kernel.Validator) fx.Option {
+			return fx.Provide(
+				func() *Client { return New(*settings.(*Settings)) },
+				func(c *Client) port.Table { return c },
+				func(c *Client) port.Objects { return c },
+			)
+		},
+	})
+}
--- /dev/null
+++ b/test/platform/handler.go
@@ -0,0 +1,251 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"teaselring/plugins/platformmemory"
+	"teaselring/port"
+	"teaselring/result"
+	"teaselring/test/standin"
+)
+
+// The protocol's messages are declared here again, so that a mistake in the
+// client's encoding fails tests.
+type (
+	row struct {
+		Table    string `json:"table,omitempty"`
+		Key      string `json:"key,omitempty"`
+		Value    []byte `json:"value"`
+		Revision uint64 `json:"revision"`
+	}
+	check struct {
+		Table    string `json:"table"`
+		Key      string `json:"key"`
+		Revision uint64 `json:"revision"`
+	}
+	put struct {
+		Table string `json:"table"`
+		Key   string `json:"key"`
+		Value []byte `json:"value"`
+	}
+	remove struct {
+		Table string `json:"table"`
+		Key   string `json:"key"`
+	}
+	transaction struct {
+		Checks  []check  `json:"checks"`
+		Puts    []put    `json:"puts"`
+		Deletes []remove `json:"deletes"`
+	}
+)
+
+// entry is a line of the journal.
+type entry struct {
+	At        time.Time `json:"at"`
+	Puts      []string  `json:"puts,omitempty"` // table/key
+	Deletes   []string  `json:"deletes,omitempty"`
+	Object    string    `json:"object,omitempty"`
+	Revision  uint64    `json:"revision,omitempty"`
+	Conflicts []string  `json:"conflicts,omitempty"` // table/key
+	Lost      bool      `json:"lost,omitempty"`      // applied, not answered
+}
+
+// maxBody is in bytes; a configuration version has at most 4 MiB.
+const maxBody = 16 << 20
+
+type handler struct {
+	store   *platformmemory.Store
+	gate    *gate
+	journal *standin.Journal
+}
+
+func newHandler(store *platformmemory.Store, g *gate, j *standin.Journal) http.Handler {
+	h := &handler{store: store, gate: g, journal: j}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/rows/{table}/{key}", h.guarded(false, h.get))
+	mux.HandleFunc("GET /v1/rows/{table}", h.guarded(false, h.scan))
+	mux.HandleFunc("POST /v1/txn", h.guarded(true, h.transact))
+	mux.HandleFunc("PUT /v1/objects/{key}", h.guarded(true, h.putObject))
+	mux.HandleFunc("GET /v1/objects/{key}", h.guarded(false, h.getObject))
+	mux.HandleFunc("POST /control", h.control)
+	mux.HandleFunc("GET /control/stats", func(w http.ResponseWriter, r *http.Request) {
+		standin.WriteJSON(w, http.StatusOK, h.gate.stats(r.Context()))
+	})
+	return mux
+}
+
+// reply is an answer that has not been sent. A nil body is sent as no body;
+// bytes are sent as they are, anything else as JSON.
+type reply struct {
+	status int
+	body   any
+	entry  *entry // for the journal
+}
+
+// guarded applies the faults to a request. The body is read first, because
+// net/http notices a client that leaves only after that.
+func (h *handler) guarded(write bool, serve func(context.Context, *http.Request, []byte) reply) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+		if err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		v := h.gate.admit(r.Context(), write)
+		if !wait(r.Context(), v) {
+			return
+		}
+		if v.status != 0 {
+			w.WriteHeader(v.status)
+			return
+		}
+		// An admitted write is applied even when its sender has left.
+		ctx := context.WithoutCancel(r.Context())
+		answer := serve(ctx, r, body)
+		if answer.entry != nil {
+			answer.entry.At, answer.entry.Lost = time.Now(), v.lose
+			h.journal.Write(ctx, answer.entry)
+		}
+		if v.lose {
+			panic(http.ErrAbortHandler) // closes the connection without an answer
+		}
+		answer.send(w)
+	}
+}
+
+// wait lasts for the delay of a verdict, and for a stalled request until its
+// sender leaves. It reports whether to go on.
+func wait(ctx context.Context, v verdict) bool {
+	if v.stall {
+		<-ctx.Done()
+		return false
+	}
+	if v.delay == 0 {
+		return true
+	}
+	timer := time.NewTimer(v.delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (a reply) send(w http.ResponseWriter) {
+	switch body := a.body.(type) {
+	case nil:
+		w.WriteHeader(a.status)
+	case []byte:
+		w.WriteHeader(a.status)
+		_, _ = w.Write(body)
+	default:
+		standin.WriteJSON(w, a.status, body)
+	}
+}
+
+// failed answers an error of the store in memory.
+func failed(err error) reply {
+	code := result.Of(err)
+	if code == result.ObjectMissing {
+		return reply{status: http.StatusNotFound}
+	}
+	return reply{status: code.Status}
+}
+
+func (h *handler) get(ctx context.Context, r *http.Request, _ []byte) reply {
+	found, err := h.store.Get(ctx, r.PathValue("table"), r.PathValue("key"))
+	if err != nil {
+		return failed(err)
+	}
+	if found.Revision == 0 {
+		return reply{status: http.StatusNotFound}
+	}
+	return reply{status: http.StatusOK, body: row{Value: found.Value, Revision: found.Revision}}
+}
+
+func (h *handler) scan(ctx context.Context, r *http.Request, _ []byte) reply {
+	query := r.URL.Query()
+	limit, err := strconv.Atoi(query.Get("limit"))
+	if err != nil || limit < 1 {
+		return reply{status: http.StatusBadRequest}
+	}
+	found, err := h.store.Scan(ctx, r.PathValue("table"), query.Get("prefix"), query.Get("after"), limit)
+	if err != nil {
+		return failed(err)
+	}
+	rows := make([]row, len(found))
+	for i, f := range found {
+		rows[i] = row{Key: f.Key, Value: f.Value, Revision: f.Revision}
+	}
+	return reply{status: http.StatusOK, body: map[string]any{"rows": rows}}
+}
+
+func (h *handler) transact(ctx context.Context, _ *http.Request, body []byte) reply {
+	var t transaction
+	if err := json.Unmarshal(body, &t); err != nil {
+		return reply{status: http.StatusBadRequest}
+	}
+	var txn port.Txn
+	line := &entry{}
+	for _, c := range t.Checks {
+		txn.Checks = append(txn.Checks, port.Check(c))
+	}
+	for _, p := range t.Puts {
+		txn.Puts = append(txn.Puts, port.Put(p))
+		line.Puts = append(line.Puts, p.Table+"/"+p.Key)
+	}
+	for _, d := range t.Deletes {
+		txn.Deletes = append(txn.Deletes, port.Delete(d))
+		line.Deletes = append(line.Deletes, d.Table+"/"+d.Key)
+	}
+	outcome, err := h.store.Apply(ctx, txn)
+	if err != nil {
+		return failed(err)
+	}
+	conflicts := []row{}
+	for _, c := range outcome.Conflicts {
+		conflicts = append(conflicts, row{Table: c.Table, Key: c.Row.Key, Value: c.Row.Value, Revision: c.Row.Revision})
+		line.Conflicts = append(line.Conflicts, c.Table+"/"+c.Row.Key)
+	}
+	if len(conflicts) > 0 {
+		return reply{status: http.StatusConflict, body: map[string]any{"conflicts": conflicts}, entry: line}
+	}
+	line.Revision = outcome.Revision
+	return reply{status: http.StatusOK, body: map[string]any{"revision": outcome.Revision}, entry: line}
+}
+
+func (h *handler) putObject(ctx context.Context, r *http.Request, body []byte) reply {
+	key := r.PathValue("key")
+	if err := h.store.PutObject(ctx, key, body); err != nil {
+		return failed(err)
+	}
+	h.gate.putObject(ctx, key)
+	return reply{status: http.StatusOK, entry: &entry{Object: key}}
+}
+
+func (h *handler) getObject(ctx context.Context, r *http.Request, _ []byte) reply {
+	content, err := h.store.GetObject(ctx, h.gate.staleObject(ctx, r.PathValue("key")))
+	if err != nil {
+		return failed(err)
+	}
+	return reply{status: http.StatusOK, body: content}
+}
+
+func (h *handler) control(w http.ResponseWriter, r *http.Request) {
+	var f faults
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	h.gate.set(r.Context(), f)
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/test/platform/main.go
@@ -0,0 +1,48 @@
+// Command platform stands in for the users' platform: a transactional table
+// service and an object store, in memory, with faults set at run time.
+package main
+
+import (
+	"flag"
+	"os"
+
+	"go.uber.org/fx"
+
+	"teaselring/kernel"
+	_ "teaselring/plugins/platformmemory"
+	"teaselring/test/standin"
+)
+
+var (
+	listen      = flag.String("listen", "127.0.0.1:0", "IP:port to listen on")
+	addressFile = flag.String("address-file", "", "file to write the address listened on to")
+	journalPath = flag.String("journal", "", "file of JSON lines, one for each write that took effect or failed its checks")
+	// The defaults are the rates that the users' platform allows.
+	reads  = flag.Int("reads-per-second", 2000, "rate limit of reads, 0 for none")
+	writes = flag.Int("writes-per-second", 400, "rate limit of writes, 0 for none")
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name: "standin.platform",
+		Doc:  "Serves the platform's protocol and injects faults.",
+		Module: func(kernel.Validator) fx.Option {
+			return fx.Options(
+				fx.Provide(
+					newGate,
+					func() *standin.Journal { return standin.NewJournal(*journalPath) },
+					func() (standin.Listener, error) { return standin.Listen(*listen, *addressFile) },
+					newHandler,
+				),
+				kernel.ProvideDuty((*gate).duty),
+				kernel.ProvideDuty((*standin.Journal).Duty),
+				fx.Invoke(standin.Serve),
+			)
+		},
+	})
+}
+
+func main() {
+	flag.Parse()
+	os.Exit(kernel.Run(kernel.Options(kernel.Defaults(), kernel.NewLogger(os.Stderr))))
+}
--- /dev/null
+++ b/test/standin/journal.go
@@ -0,0 +1,70 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"teaselring/kernel"
+)
+
+// Journal writes JSON lines to a file. Write returns after the line is in the
+// file, so that it outlives a crash of the process right after.
+type Journal struct {
+	path string
+	ring *journalRing
+}
+
+type journalRing = kernel.Ring[kernel.Ask[any, struct{}]]
+
+const journalRingName = "journal.lines"
+
+// NewJournal returns a journal; with an empty path it keeps nothing. Its duty
+// is Duty.
+func NewJournal(path string) *Journal {
+	return &Journal{path: path, ring: kernel.NewRing[kernel.Ask[any, struct{}]](journalRingName, 256, kernel.WaitUntilDeadline)}
+}
+
+// Write adds one line. A failure ends the process, because a test that counts
+// lines would otherwise pass on a journal with gaps.
+func (j *Journal) Write(ctx context.Context, line any) {
+	if j.path == "" {
+		return
+	}
+	if _, err := kernel.Do(ctx, j.ring, line); err != nil {
+		fmt.Fprintln(os.Stderr, "journal:", err)
+		os.Exit(3)
+	}
+}
+
+// Duty owns the file.
+func (j *Journal) Duty() kernel.Duty {
+	return kernel.Duty{Name: "journal", Owns: "the journal file", In: []string{journalRingName}, Run: j.run}
+}
+
+func (j *Journal) run(ctx context.Context) error {
+	if j.path == "" {
+		return nil
+	}
+	file, err := os.OpenFile(j.path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = file.Close() }()
+	for {
+		select {
+		case ask := <-j.ring.C():
+			line, err := json.Marshal(ask.Query)
+			if err == nil {
+				_, err = file.Write(append(line, '\n'))
+			}
+			if err != nil {
+				return err
+			}
+			ask.Answer(struct{}{})
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
