--- a/decision/once/once.go
+++ b/decision/once/once.go
@@ -15,7 +15,7 @@
 // States of a key.
 const (
 	Claimed State = iota + 1 // an attempt has the right to run; its outcome is not known
-	Done                     // the call ran and the upstream answered
+	Ended                    // the call ran and the upstream answered
 )
 
 // Row is what the platform keeps of a claimed key.
@@ -23,7 +23,7 @@
 	Attempt mesh.AttemptID `json:"attempt"`
 	Node    mesh.NodeID    `json:"node"`
 	State   State          `json:"state"`
-	Status  int            `json:"status,omitempty"` // of the upstream's answer, when Done
+	Status  int            `json:"status,omitempty"` // of the upstream's answer, when Ended
 	At      time.Time      `json:"at"`
 }
 
@@ -33,7 +33,7 @@
 	switch {
 	case row.Attempt == attempt && row.State == Claimed:
 		return nil
-	case row.State == Done:
+	case row.State == Ended:
 		return result.AlreadyRan.Errorf("the call ran at %s and was answered with status %d", row.At.UTC().Format(time.RFC3339), row.Status)
 	default:
 		return result.KeyMayHaveRun.Err()
--- /dev/null
+++ b/decision/once/once_test.go
@@ -0,0 +1,51 @@
+package once
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"teaselring/result"
+)
+
+func TestOnce(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "once")
+}
+
+// A row that is misread either runs a call twice or refuses a call for good
+// that never ran.
+var _ = DescribeTable("an existing row",
+	func(row Row, code *result.Code) { Expect(result.Of(Judge(row, "mine"))).To(Equal(code)) },
+	Entry("own claim whose answer was lost", Row{Attempt: "mine", State: Claimed}, result.OK),
+	Entry("claim of another attempt", Row{Attempt: "other", State: Claimed}, result.KeyMayHaveRun),
+	Entry("finished by another attempt", Row{Attempt: "other", State: Ended, Status: 201}, result.AlreadyRan),
+	Entry("finished by the same attempt", Row{Attempt: "mine", State: Ended}, result.AlreadyRan),
+	Entry("without a known state", Row{Attempt: "other"}, result.KeyMayHaveRun),
+)
+
+var _ = Describe("a batch", func() {
+	start := time.Unix(1000, 0)
+
+	It("is due one window after its first item, so that a lone claim does not wait for others", func() {
+		b := NewBatch[int](10, 5*time.Millisecond)
+		_, ok := b.Due()
+		Expect(ok).To(BeFalse())
+		b.Add(1, start)
+		b.Add(2, start.Add(3*time.Millisecond))
+		due, ok := b.Due()
+		Expect(ok).To(BeTrue())
+		Expect(due).To(Equal(start.Add(5 * time.Millisecond)))
+	})
+
+	It("is full at its size and empty after it was taken", func() {
+		b := NewBatch[int](2, time.Second)
+		Expect(b.Add(1, start)).To(BeFalse())
+		Expect(b.Add(2, start)).To(BeTrue())
+		Expect(b.Take()).To(Equal([]int{1, 2}))
+		_, ok := b.Due()
+		Expect(ok).To(BeFalse())
+	})
+})
--- a/plugins/oncekeys/writer.go
+++ b/plugins/oncekeys/writer.go
@@ -211,7 +211,7 @@
 func (w *writer) addSettlement(ctx context.Context, txn *port.Txn, s port.Settlement) error {
 	key := rowKey(s.Claim)
 	if !s.NotRun {
-		row := once.Row{Attempt: s.Claim.Attempt, Node: w.node, State: once.Done, Status: s.Status, At: time.Now()}
+		row := once.Row{Attempt: s.Claim.Attempt, Node: w.node, State: once.Ended, Status: s.Status, At: time.Now()}
 		txn.Puts = append(txn.Puts, port.Put{Table: table, Key: key, Value: encode(row)})
 		return nil
 	}
