Add the upstream stand-in and the harness for integration tests

Cause: faults of the failure model must be caused and what ran be counted. Conclusion: integration tests can use all faults but those of a node, whose settings do not exist yet.

--- /dev/null
+++ b/test/harness/harness_suite_test.go
@@ -0,0 +1,15 @@
+package harness
+
+import (
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+)
+
+func TestSuite(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "harness")
+}
+
+var _ = ginkgo.AfterSuite(RemoveBinaries)
--- /dev/null
+++ b/test/harness/harness_test.go
@@ -0,0 +1,95 @@
+package harness
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"teaselring/test/standin"
+)
+
+// Integration tests count what ran by these journals. A call that is missing
+// after a crash, or a process that outlives its test, would falsify them.
+var _ = Describe("the harness", func() {
+	It("runs, breaks and restarts an upstream whose journal survives", func() {
+		h := New(GinkgoT())
+		u := h.StartUpstream("u1", "billing", "v1", "", "-shed-above", "1")
+		request := func(method, path, key string, header ...string) (*http.Response, error) {
+			r, err := http.NewRequest(method, "http://"+u.Address+path, strings.NewReader(key))
+			Expect(err).NotTo(HaveOccurred())
+			r.Header.Set("Idempotency-Key", key)
+			for _, name := range header {
+				r.Header.Set(name, "1")
+			}
+			return client.Do(r)
+		}
+		text := func(response *http.Response, err error) string {
+			GinkgoHelper()
+			Expect(err).NotTo(HaveOccurred())
+			content, err := io.ReadAll(response.Body)
+			Expect(err).NotTo(HaveOccurred())
+			_ = response.Body.Close()
+			return string(content)
+		}
+		began := func(key string) int {
+			return u.Began(func(c standin.Call) bool { return c.Key == key })
+		}
+
+		Expect(text(request("POST", "/pay", "k1"))).To(Equal("k1"))
+		Expect(text(request("GET", "/stream?bytes=30&pause_ms=1", ""))).To(Equal("abcdefghijklmnopqrstuvwxyzabcd"))
+		Expect(text(request("GET", "/stream?bytes=100000", ""))).To(HaveLen(100000))
+
+		u.Control(map[string]any{"error_rate": 1, "fault_path": "/pay"})
+		response, err := request("POST", "/pay", "k2")
+		Expect(text(response, err)).To(ContainSubstring("injected"))
+		Expect(text(request("POST", "/other", "k3"))).To(Equal("k3"))
+
+		u.Control(map[string]any{"service_ms": 60000})
+		abandoned := make(chan error, 1)
+		go func() {
+			_, err := request("POST", "/slow", "k4")
+			abandoned <- err
+		}()
+		h.Until("the slow call to begin", func() error { return equal(began("k4"), 1) })
+		shed, err := request("POST", "/slow", "k5")
+		Expect(text(shed, err)).To(BeEmpty())
+		Expect(shed.Header.Get("Teasel-Shed")).To(Equal("1"))
+		Expect(began("k5")).To(BeZero())
+		u.Kill()
+		Expect(<-abandoned).To(HaveOccurred())
+
+		u.Restart()
+		_, err = request("POST", "/pay", "k6", "X-Crash")
+		Expect(err).To(HaveOccurred())
+		Expect(u.ExitCode()).To(Equal(2))
+		Expect(began("k6")).To(Equal(1))
+		Expect(u.Calls()).To(ContainElement(And(HaveField("Event", "ended"), HaveField("Key", "k1"))))
+		Expect(u.Calls()).NotTo(ContainElement(And(HaveField("Event", "ended"), HaveField("Key", "k6"))))
+	})
+
+	It("runs a platform, pauses it and stops it", func() {
+		h := New(GinkgoT())
+		p := h.StartPlatform("-writes-per-second", "0")
+		url := "http://" + p.Address + "/v1/objects/o"
+		Expect(exchange("PUT", url, []byte("x"), nil)).To(Succeed())
+		p.Control(map[string]any{"outage": true})
+		Expect(exchange("PUT", url, []byte("y"), nil)).To(MatchError(ContainSubstring("503")))
+		Expect(p.Writes()).To(HaveExactElements(HaveField("Object", "o")))
+		Expect(p.Stats()).To(HaveKeyWithValue("refused", 1))
+		p.Pause()
+		p.Resume()
+		p.Stop()
+		Expect(p.ExitCode()).To(BeZero())
+	})
+})
+
+func equal(got, want int) error {
+	if got != want {
+		return fmt.Errorf("got %d, want %d", got, want)
+	}
+	return nil
+}
--- a/test/platform/handler.go
+++ b/test/platform/handler.go
@@ -44,17 +44,6 @@
 	}
 )
 
-// entry is a line of the journal.
-type entry struct {
-	At        time.Time `json:"at"`
-	Puts      []string  `json:"puts,omitempty"` // table/key
-	Deletes   []string  `json:"deletes,omitempty"`
-	Object    string    `json:"object,omitempty"`
-	Revision  uint64    `json:"revision,omitempty"`
-	Conflicts []string  `json:"conflicts,omitempty"` // table/key
-	Lost      bool      `json:"lost,omitempty"`      // applied, not answered
-}
-
 // maxBody is in bytes; a configuration version has at most 4 MiB.
 const maxBody = 16 << 20
 
@@ -72,9 +61,9 @@
 	mux.HandleFunc("POST /v1/txn", h.guarded(true, h.transact))
 	mux.HandleFunc("PUT /v1/objects/{key}", h.guarded(true, h.putObject))
 	mux.HandleFunc("GET /v1/objects/{key}", h.guarded(false, h.getObject))
-	mux.HandleFunc("POST /control", h.control)
+	mux.HandleFunc("POST /control", standin.Control(g, func(s *state) *faults { return &s.faults }))
 	mux.HandleFunc("GET /control/stats", func(w http.ResponseWriter, r *http.Request) {
-		standin.WriteJSON(w, http.StatusOK, h.gate.stats(r.Context()))
+		standin.WriteJSON(w, http.StatusOK, standin.Query(r.Context(), g, func(s *state) stats { return s.stats }))
 	})
 	return mux
 }
@@ -84,7 +73,7 @@
 type reply struct {
 	status int
 	body   any
-	entry  *entry // for the journal
+	entry  *standin.Write // for the journal
 }
 
 // guarded applies the faults to a request. The body is read first, because
@@ -96,7 +85,7 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		v := h.gate.admit(r.Context(), write)
+		v := standin.Query(r.Context(), h.gate, func(s *state) verdict { return s.admit(write, time.Now()) })
 		if !wait(r.Context(), v) {
 			return
 		}
@@ -118,26 +107,6 @@
 	}
 }
 
-// wait lasts for the delay of a verdict, and for a stalled request until its
-// sender leaves. It reports whether to go on.
-func wait(ctx context.Context, v verdict) bool {
-	if v.stall {
-		<-ctx.Done()
-		return false
-	}
-	if v.delay == 0 {
-		return true
-	}
-	timer := time.NewTimer(v.delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (a reply) send(w http.ResponseWriter) {
 	switch body := a.body.(type) {
 	case nil:
@@ -193,7 +162,7 @@
 		return reply{status: http.StatusBadRequest}
 	}
 	var txn port.Txn
-	line := &entry{}
+	line := &standin.Write{}
 	for _, c := range t.Checks {
 		txn.Checks = append(txn.Checks, port.Check(c))
 	}
@@ -226,26 +195,15 @@
 	if err := h.store.PutObject(ctx, key, body); err != nil {
 		return failed(err)
 	}
-	h.gate.putObject(ctx, key)
-	return reply{status: http.StatusOK, entry: &entry{Object: key}}
+	standin.Query(ctx, h.gate, func(s *state) bool { return s.putObject(key) })
+	return reply{status: http.StatusOK, entry: &standin.Write{Object: key}}
 }
 
 func (h *handler) getObject(ctx context.Context, r *http.Request, _ []byte) reply {
-	content, err := h.store.GetObject(ctx, h.gate.staleObject(ctx, r.PathValue("key")))
+	key := standin.Query(ctx, h.gate, func(s *state) string { return s.readObject(r.PathValue("key")) })
+	content, err := h.store.GetObject(ctx, key)
 	if err != nil {
 		return failed(err)
 	}
 	return reply{status: http.StatusOK, body: content}
 }
-
-func (h *handler) control(w http.ResponseWriter, r *http.Request) {
-	var f faults
-	decoder := json.NewDecoder(r.Body)
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	h.gate.set(r.Context(), f)
-	w.WriteHeader(http.StatusNoContent)
-}
--- a/test/platform/main.go
+++ b/test/platform/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"flag"
+	"net/http"
 	"os"
 
 	"go.uber.org/fx"
@@ -34,9 +35,10 @@
 					func() (standin.Listener, error) { return standin.Listen(*listen, *addressFile) },
 					newHandler,
 				),
-				kernel.ProvideDuty((*gate).duty),
+				kernel.ProvideDuty((*gate).Duty),
 				kernel.ProvideDuty((*standin.Journal).Duty),
-				fx.Invoke(standin.Serve),
+				fx.Provide(standin.Serve),
+				fx.Invoke(func(*http.Server) {}),
 			)
 		},
 	})
--- a/test/platform/platform_test.go
+++ b/test/platform/platform_test.go
@@ -31,7 +31,7 @@
 		DeferCleanup(cancel)
 		store, g := platformmemory.New(), newGate()
 		go func() { _ = store.Run(running) }()
-		go func() { _ = g.run(running) }()
+		go func() { _ = g.Run(running) }()
 		server := httptest.NewServer(newHandler(store, g, standin.NewJournal("")))
 		DeferCleanup(server.Close)
 		client = platformhttp.New(platformhttp.Settings{
@@ -42,7 +42,7 @@
 			response, err := http.Post(server.URL+"/control", "application/json", strings.NewReader(body))
 			Expect(err).NotTo(HaveOccurred())
 			Expect(response.Body.Close()).To(Succeed())
-			Expect(response.StatusCode).To(Equal(http.StatusNoContent))
+			Expect(response.StatusCode).To(Equal(http.StatusOK))
 		}
 	})
 
@@ -90,7 +90,7 @@
 	)
 
 	It("limits each kind of request to its rate", func() {
-		s := &state{writes: bucket{rate: 2}}
+		s := &state{faults: faults{WritesPerSecond: 2}}
 		status := func(write bool, ms int64) int { return s.admit(write, time.UnixMilli(ms)).status }
 		Expect([]int{status(true, 5000), status(true, 5000), status(true, 5000)}).To(Equal([]int{0, 0, 429}))
 		Expect(status(false, 5000)).To(BeZero())
--- /dev/null
+++ b/test/upstream/handler.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"teaselring/test/standin"
+)
+
+type handler struct {
+	behaviour *behaviour
+	journal   *standin.Journal
+}
+
+func newHandler(b *behaviour, j *standin.Journal, a *announcer) http.Handler {
+	h := &handler{behaviour: b, journal: j}
+	control := standin.Control(b, func(s *state) *options { return &s.options })
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /control", func(w http.ResponseWriter, r *http.Request) {
+		control(w, r)
+		a.announceNow(r.Context())
+	})
+	mux.HandleFunc("GET /health", h.health)
+	mux.HandleFunc("GET /load", func(w http.ResponseWriter, r *http.Request) {
+		load := standin.Query(r.Context(), b, (*state).load)
+		standin.WriteJSON(w, http.StatusOK, map[string]int{"in_flight": load, "slots": *slots})
+	})
+	mux.HandleFunc("/stream", h.call(stream))
+	mux.HandleFunc("/", h.call(echo))
+	return mux
+}
+
+func (h *handler) health(w http.ResponseWriter, r *http.Request) {
+	status := http.StatusOK
+	if !standin.Query(r.Context(), h.behaviour, (*state).healthy) {
+		status = http.StatusServiceUnavailable
+	}
+	w.WriteHeader(status)
+}
+
+// call runs one call as planned and journals it. The line of the beginning is
+// in the file before any work, so a crash leaves it there.
+func (h *handler) call(answer func(http.ResponseWriter, *http.Request, []byte)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		ctx := r.Context()
+		unending := context.WithoutCancel(ctx)
+		p := standin.Query(ctx, h.behaviour, func(s *state) plan { return s.begin(r.URL.Path) })
+		line := standin.Call{
+			Event: "began", Process: process, Call: p.number, Attempt: r.Header.Get("Teasel-Attempt"),
+			Key: r.Header.Get("Idempotency-Key"), Method: r.Method, Path: r.URL.Path, Began: time.Now(),
+		}
+		if p.number == 0 {
+			line.Event = "shed"
+			h.journal.Write(unending, line)
+			w.Header().Set("Teasel-Shed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		h.journal.Write(unending, line)
+		if r.Header.Get("X-Crash") != "" {
+			os.Exit(2)
+		}
+		defer func() {
+			standin.Query(unending, h.behaviour, (*state).end)
+			line.Event, line.Ended = "ended", time.Now()
+			line.Cancelled = line.Cancelled || ctx.Err() != nil
+			h.journal.Write(unending, line)
+		}()
+		body, err := io.ReadAll(r.Body)
+		line.Bytes = len(body)
+		if err != nil || !standin.Wait(ctx, p.delay) {
+			line.Cancelled = true
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("Upstream-Version", *version)
+		w.Header().Set("Upstream-Process", process)
+		if line.Status = http.StatusOK; p.fail {
+			line.Status = http.StatusInternalServerError
+			http.Error(w, "injected failure", line.Status)
+			return
+		}
+		answer(w, r, body)
+	}
+}
+
+// echo answers with the body of the request and its hash. A request without a
+// body is answered with its method and URI, so that answers of different
+// requests differ.
+func echo(w http.ResponseWriter, r *http.Request, body []byte) {
+	if len(body) == 0 {
+		body = []byte(r.Method + " " + r.URL.RequestURI() + "\n")
+	}
+	sum := sha256.Sum256(body)
+	w.Header().Set("Upstream-Sha256", hex.EncodeToString(sum[:]))
+	_, _ = w.Write(body)
+}
+
+// stream answers with a number of bytes, which repeat the letters a to z. With
+// pause_ms it pauses after each byte; with chunked=1 no length is announced.
+func stream(w http.ResponseWriter, r *http.Request, _ []byte) {
+	query := r.URL.Query()
+	total, _ := strconv.Atoi(query.Get("bytes"))
+	pauseMS, _ := strconv.Atoi(query.Get("pause_ms"))
+	if query.Get("chunked") == "" {
+		w.Header().Set("Content-Length", strconv.Itoa(total))
+	}
+	const letters, block = 26, 26 * 1260 // 32 KiB
+	content := make([]byte, block+letters)
+	for i := range content {
+		content[i] = byte('a' + i%letters)
+	}
+	for sent := 0; sent < total; {
+		size := min(block, total-sent)
+		if pauseMS > 0 {
+			size = 1
+		}
+		if _, err := w.Write(content[sent%letters:][:size]); err != nil {
+			return
+		}
+		sent += size
+		if pauseMS > 0 {
+			_ = http.NewResponseController(w).Flush()
+			if !standin.Wait(r.Context(), time.Duration(pauseMS)*time.Millisecond) {
+				return
+			}
+		}
+	}
+}
