--- a/result/code.go
+++ b/result/code.go
@@ -88,6 +88,8 @@
 	StaleVersion     = define(2010, "stale_version", NotACall, RetryNever, 409, "The version is not newer than the version in force.")
 	NotConvertible   = define(2011, "not_convertible", NotACall, RetryAfterChange, 422, "The record can't be expressed in the requested schema without loss.")
 	UnknownVersion   = define(2012, "unknown_version", NotACall, RetryAfterChange, 404, "The configuration version does not exist.")
+	DigestMismatch   = define(2013, "digest_mismatch", NotACall, RetrySafe, 422, "The records received are not those of the version; nothing was applied.")
+	WrongBase        = define(2014, "wrong_base", NotACall, RetrySafe, 409, "The delta was made against another version than the one held; nothing was applied.")
 
 	MoveUnknownVersion = define(3001, "move_unknown_version", NotACall, RetryAfterChange, 422, "No upstream has announced a version that the move names.")
 	MovePastTarget     = define(3002, "move_past_target", NotACall, RetryAfterChange, 422, "The target time of the move is in the past or too near.")
