Add the plug-ins that hold and fetch the configuration

Cause: a node needs the newest version from the platform or from peers, and operators need to publish one. Measured: go test -race ./plugins/configsource passes.

--- /dev/null
+++ b/plugins/configsource/platform_test.go
@@ -0,0 +1,117 @@
+package configsource
+
+import (
+	"context"
+	"maps"
+	"sync"
+
+	"teaselring/port"
+	"teaselring/result"
+)
+
+// platform is an in-memory table and object store with faults.
+type platform struct {
+	mu       sync.Mutex
+	rows     map[string]port.Row
+	objects  map[string][]byte
+	revision uint64
+	commits  int // transactions that took effect
+
+	down        bool
+	loseAnswers int               // commits that take effect and report an unknown outcome
+	downAfter   bool              // the platform goes down after the next commit
+	frozen      map[string][]byte // objects as the stale object store shows them
+	beforeWrite func()            // runs before the next commit
+	stall       chan struct{}     // commits wait until it is closed
+}
+
+func newPlatform() *platform {
+	return &platform{rows: map[string]port.Row{}, objects: map[string][]byte{}}
+}
+
+func (p *platform) set(change func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change()
+}
+
+// freeze makes the object store answer with what it holds now.
+func (p *platform) freeze() { p.set(func() { p.frozen = maps.Clone(p.objects) }) }
+
+func (p *platform) Get(_ context.Context, table, key string) (port.Row, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		return port.Row{}, result.PlatformDown.Err()
+	}
+	return p.rows[table+"/"+key], nil
+}
+
+func (p *platform) Scan(context.Context, string, string, string, int) ([]port.Row, error) {
+	return nil, result.Internal.Errorf("not used")
+}
+
+func (p *platform) Commit(ctx context.Context, txn port.Txn) error {
+	p.mu.Lock()
+	before, stall := p.beforeWrite, p.stall
+	p.beforeWrite = nil
+	p.mu.Unlock()
+	if before != nil {
+		before()
+	}
+	if stall != nil {
+		select {
+		case <-stall:
+		case <-ctx.Done():
+			return result.PlatformUnknown.Err()
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		return result.PlatformDown.Err()
+	}
+	for _, c := range txn.Checks {
+		if p.rows[c.Table+"/"+c.Key].Revision != c.Revision {
+			return result.RowConflict.Err()
+		}
+	}
+	p.revision++
+	p.commits++
+	for _, put := range txn.Puts {
+		p.rows[put.Table+"/"+put.Key] = port.Row{Key: put.Key, Value: put.Value, Revision: p.revision}
+	}
+	p.down, p.downAfter = p.downAfter, false
+	if p.loseAnswers > 0 {
+		p.loseAnswers--
+		return result.PlatformUnknown.Err()
+	}
+	return nil
+}
+
+func (p *platform) PutObject(_ context.Context, key string, content []byte) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		return result.PlatformDown.Err()
+	}
+	p.objects[key] = content
+	return nil
+}
+
+func (p *platform) GetObject(_ context.Context, key string) ([]byte, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	objects := p.objects
+	if p.frozen != nil {
+		objects = p.frozen
+	}
+	content, ok := objects[key]
+	switch {
+	case p.down:
+		return nil, result.PlatformDown.Err()
+	case !ok:
+		return nil, result.ObjectMissing.Err()
+	}
+	return content, nil
+}
--- /dev/null
+++ b/plugins/configsource/publisher.go
@@ -0,0 +1,132 @@
+package configsource
+
+import (
+	"context"
+	"regexp"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+
+	"teaselring/kernel"
+	"teaselring/mesh"
+	"teaselring/port"
+	"teaselring/result"
+)
+
+type (
+	publishAsk = kernel.Ask[port.Publish, port.Published]
+	historyAsk = kernel.Ask[port.History, mesh.Snapshot]
+)
+
+// publicationPattern keeps ids usable as row keys.
+var publicationPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$`)
+
+type publisherDependencies struct {
+	fx.In
+	Self     mesh.Identity
+	Table    port.Table
+	Objects  port.Objects
+	Requests *port.PublishRing
+	History  *port.HistoryRing
+	Heads    *port.HeadRing
+	Logger   *log.Logger
+	Metrics  metrics.Registry
+}
+
+// publisher is the state of the publisher duty. It is a duty apart from the
+// head reader, so that a slow publication does not delay the reads.
+type publisher struct {
+	publisherDependencies
+	settings  *Settings
+	published metrics.Counter
+	refusals  metrics.Counter
+	retries   metrics.Counter
+}
+
+func newPublisherDuty(in publisherDependencies, settings *Settings) kernel.Duty {
+	p := &publisher{
+		publisherDependencies: in,
+		settings:              settings,
+		published:             metrics.GetOrRegisterCounter("config.published", in.Metrics),
+		refusals:              metrics.GetOrRegisterCounter("config.publish_refused", in.Metrics),
+		retries:               metrics.GetOrRegisterCounter("config.publish_retries", in.Metrics),
+	}
+	return kernel.Duty{
+		Name: "publisher",
+		Owns: "the publication in progress",
+		In:   []string{"publisher.requests", "publisher.history"},
+		Out:  []string{"config.heads"},
+		Run:  p.run,
+	}
+}
+
+func (p *publisher) run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case ask := <-p.Requests.C():
+			answer(ask, func() (port.Published, error) { return p.publish(ctx, ask.Query) })
+		case ask := <-p.History.C():
+			answer(ask, func() (mesh.Snapshot, error) { return p.older(ctx, ask.Query.Version) })
+		}
+	}
+}
+
+func answer[Q, A any](ask kernel.Ask[Q, A], handle func() (A, error)) {
+	a, err := handle()
+	if err != nil {
+		ask.Fail(err)
+		return
+	}
+	ask.Answer(a)
+}
+
+// publish applies a change within the publish timeout.
+func (p *publisher) publish(ctx context.Context, q port.Publish) (port.Published, error) {
+	if !q.DryRun && !publicationPattern.MatchString(q.Publication) {
+		return port.Published{}, result.BadRequest.Errorf("publication id %q is not allowed; allowed are 1 to 128 letters, digits, '.', '_', ':' and '-', beginning with a letter or digit", q.Publication)
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.settings.PublishTimeout.Duration)
+	defer cancel()
+	attempt := publication{publisher: p, query: q}
+	published, err := attempt.run(ctx)
+	entry := p.Logger.Info()
+	if err != nil {
+		p.refusals.Inc(1)
+		entry = p.Logger.Warn().Int("code", result.Of(err).Number).Err(err)
+	} else if !q.DryRun {
+		p.published.Inc(1)
+	}
+	entry.Str("node", string(p.Self.Node)).Str("zone", string(p.Self.Zone)).Uint64("version", uint64(published.Version)).
+		Str("publication", q.Publication).Str("by", q.By).Bool("dry_run", q.DryRun).Msg("publication")
+	return published, err
+}
+
+// older returns a version that the platform keeps; 0 stands for the newest.
+func (p *publisher) older(ctx context.Context, v mesh.Version) (mesh.Snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.settings.PublishTimeout.Duration)
+	defer cancel()
+	if v == 0 {
+		head, err := readHead(ctx, p.Table)
+		if err != nil {
+			return mesh.Snapshot{}, err
+		}
+		if v = head.Version; v == 0 {
+			return mesh.Snapshot{}, result.UnknownVersion.Errorf("nothing has been published")
+		}
+	}
+	snapshot, err := readVersion(ctx, p.Table, p.Objects, v)
+	if err != nil {
+		return mesh.Snapshot{}, err
+	}
+	return *snapshot, nil
+}
+
+// announce gives the config duty of this node a version that was just written,
+// without waiting for the next read of the head.
+func (p *publisher) announce(ctx context.Context, head port.ConfigHead, content []byte, at time.Time) {
+	_ = p.Heads.Send(ctx, port.HeadReport{Read: at, Head: head, Content: content})
+}
--- a/port/config.go
+++ b/port/config.go
@@ -49,3 +49,25 @@
 
 // HistoryRing leads from the operators' edge to the publisher.
 type HistoryRing = kernel.Ring[kernel.Ask[History, mesh.Snapshot]]
+
+// ConfigHead is what the platform's row config/head says: which version is the
+// newest and which object holds it.
+type ConfigHead struct {
+	Version mesh.Version // 0: nothing has been published
+	Digest  mesh.Digest
+}
+
+// HeadReport is the outcome of one read of the head from the platform.
+type HeadReport struct {
+	Read time.Time // when the read began
+	Head ConfigHead
+	// Content is the canonical content of the head's object. It is nil when the
+	// reader knows that the version is held already, or on an error.
+	Content []byte
+	// Err says why the head could not be read or, when Head.Version is set, why
+	// its object could not.
+	Err error
+}
+
+// HeadRing leads from the head reader and the publisher to the config duty.
+type HeadRing = kernel.Ring[HeadReport]
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -29,6 +29,10 @@
 	Sequence   uint64       `cbor:"1,keyasint"`
 	InForce    mesh.Version `cbor:"2,keyasint"`
 	ViewDigest uint64       `cbor:"3,keyasint"`
+	// HeadAge is how long ago the platform confirmed InForce as its head, in
+	// milliseconds and at least 1. 0: the sender does not know. It spares the
+	// receiver a read of the head; a time of day would depend on both clocks.
+	HeadAge uint32 `cbor:"4,keyasint,omitempty"`
 }
 
 // Members carries changed member entries, or the whole view when Full is set.
@@ -40,10 +44,14 @@
 // MembersRequest asks for the whole view.
 type MembersRequest struct{}
 
-// ConfigOffer announces a configuration version that the sender holds.
+// ConfigOffer announces a configuration version that the sender holds, 0 for
+// none. Both ends of a new link send one.
 type ConfigOffer struct {
 	Version mesh.Version `cbor:"1,keyasint"`
 	Digest  mesh.Digest  `cbor:"2,keyasint"`
+	// Remembered is the highest version that the sender knows the receiver had
+	// in force, in this or an earlier life.
+	Remembered mesh.Version `cbor:"3,keyasint,omitempty"`
 }
 
 // ConfigFetch asks for the newest version, as a delta against Have if possible.
