--- a/cmd/teasel-node/main.go
+++ b/cmd/teasel-node/main.go
@@ -72,7 +72,7 @@
 }
 
 func settingsFlag(c *cobra.Command, file *string) {
-	c.Flags().StringVarP(file, "config", "c", "teasel-node.toml", "settings file (TOML)")
+	c.Flags().StringVarP(file, "settings", "s", "teasel-node.toml", "settings file (TOML)")
 }
 
 func pluginsCommand() *cobra.Command {
--- /dev/null
+++ b/plugins/operatorsapi/records.go
@@ -0,0 +1,155 @@
+package operatorsapi
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"teaselring/decision/config"
+	"teaselring/kernel"
+	"teaselring/mesh"
+	"teaselring/port"
+	"teaselring/result"
+)
+
+// requestTimeout bounds the wait for the duties and the platform behind a route.
+const requestTimeout = 20 * time.Second
+
+// apply publishes the records of the body, in TOML. Query parameters:
+// publication (required), base, remove (kind/id, repeated), why.
+func (a *api) apply(c *gin.Context) {
+	publication := c.Query("publication")
+	if publication == "" {
+		fail(c, result.BadRequest.Errorf("query parameter publication is required: it makes a repeated apply safe"))
+		return
+	}
+	a.publish(c, publication, false)
+}
+
+// validate checks the records of the body against the newest version and
+// writes nothing.
+func (a *api) validate(c *gin.Context) { a.publish(c, "", true) }
+
+func (a *api) publish(c *gin.Context, publication string, dryRun bool) {
+	request, err := readPublish(c)
+	if err != nil {
+		a.refused(c, "apply", publication, err, dryRun)
+		return
+	}
+	request.Publication, request.DryRun = publication, dryRun
+	ctx, cancel := context.WithTimeout(c.Request.Context(), requestTimeout)
+	defer cancel()
+	published, err := kernel.Do(ctx, a.Publish, request)
+	if err != nil {
+		a.refused(c, "apply", publication, err, dryRun)
+		return
+	}
+	c.JSON(http.StatusOK, gin.H{"version": published.Version, "merged": published.Merged})
+}
+
+// refused answers with the refusal and puts it in the audit trail.
+func (a *api) refused(c *gin.Context, action, subject string, err error, silent bool) {
+	if !silent && a.Entries != nil {
+		e := result.From(err)
+		_ = a.Entries.Send(c.Request.Context(), port.AuditEntry{
+			Time: time.Now(), Who: port.OperatorName(c), Action: action + " refused",
+			Subject: subject, Why: e.Message, Code: e.Code.Number,
+		})
+	}
+	fail(c, err)
+}
+
+func readPublish(c *gin.Context) (port.Publish, error) {
+	request := port.Publish{By: port.OperatorName(c), Why: c.Query("why")}
+	body, err := io.ReadAll(c.Request.Body)
+	if err != nil {
+		return request, result.BodyTooLarge.Errorf("body: %v", err)
+	}
+	if request.Records, err = config.Parse(body); err != nil {
+		return request, err
+	}
+	for _, name := range c.QueryArray("remove") {
+		kind, id, ok := strings.Cut(name, "/")
+		if !ok {
+			return request, result.BadRequest.Errorf("query parameter remove = %q; allowed is kind/id", name)
+		}
+		request.Remove = append(request.Remove, mesh.RecordKey{Kind: mesh.Kind(kind), ID: id})
+	}
+	request.Base, err = versionParameter(c, "base")
+	return request, err
+}
+
+// records prints a version, or the one in force, in TOML.
+func (a *api) records(c *gin.Context) {
+	version, err := versionParameter(c, "version")
+	if err != nil {
+		fail(c, err)
+		return
+	}
+	snapshot, err := a.snapshot(c, version)
+	if err != nil {
+		fail(c, err)
+		return
+	}
+	text, err := config.Print(snapshot.Records)
+	if err != nil {
+		fail(c, err)
+		return
+	}
+	c.Header("Teasel-Config-Version", strconv.FormatUint(uint64(snapshot.Version), 10))
+	c.Data(http.StatusOK, "application/toml", text)
+}
+
+// diff lists the records that differ between two versions.
+func (a *api) diff(c *gin.Context) {
+	var snapshots [2]*mesh.Snapshot
+	for i, name := range []string{"from", "to"} {
+		version, err := versionParameter(c, name)
+		if err == nil {
+			snapshots[i], err = a.snapshot(c, version)
+		}
+		if err != nil {
+			fail(c, err)
+			return
+		}
+	}
+	c.JSON(http.StatusOK, gin.H{
+		"from": snapshots[0].Version, "to": snapshots[1].Version,
+		"changes": config.Changes(snapshots[0].Records, snapshots[1].Records),
+	})
+}
+
+// snapshot returns a version: from memory when it is in force, else from the
+// platform. Version 0 is the one in force.
+func (a *api) snapshot(c *gin.Context, version mesh.Version) (*mesh.Snapshot, error) {
+	active := a.Snapshot.Load()
+	if active != nil && (version == 0 || version == active.Version) {
+		return active, nil
+	}
+	if version == 0 {
+		return nil, result.NoConfiguration.Err()
+	}
+	ctx, cancel := context.WithTimeout(c.Request.Context(), requestTimeout)
+	defer cancel()
+	snapshot, err := kernel.Do(ctx, a.History, port.History{Version: version})
+	return &snapshot, err
+}
+
+func versionParameter(c *gin.Context, name string) (mesh.Version, error) {
+	text := c.Query(name)
+	if text == "" {
+		return 0, nil
+	}
+	v, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, result.BadRequest.Errorf("query parameter %s = %q; allowed is a version number", name, text)
+	}
+	return mesh.Version(v), nil
+}
+
+func fail(c *gin.Context, err error) { port.Refuse(c.Writer, err) }
--- /dev/null
+++ b/test/harness/cluster.go
@@ -0,0 +1,108 @@
+package harness
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+)
+
+// Tokens and key that Cluster gives to its nodes.
+const (
+	ReadToken   = "read-token-of-the-cluster"
+	ChangeToken = "change-token-of-the-cluster"
+	PeerKey     = "key shared by all nodes of the cluster"
+)
+
+// Cluster is a platform stand-in with nodes and upstreams.
+type Cluster struct {
+	H        *Harness
+	Platform Platform
+	Nodes    []*Node
+	Extra    string // further settings for every node
+	seeds    []string
+	zones    map[string]string
+}
+
+// NewCluster starts the platform and reserves the addresses of the named
+// nodes. Node i is in zone z<i mod zones>.
+func NewCluster(h *Harness, zones int, names ...string) *Cluster {
+	c := &Cluster{H: h, Platform: h.StartPlatform(), zones: map[string]string{}}
+	for i, name := range names {
+		n := h.NewNode(name)
+		c.Nodes = append(c.Nodes, n)
+		c.zones[name] = fmt.Sprintf("z%d", i%zones)
+		if len(c.seeds) < 3 {
+			c.seeds = append(c.seeds, fmt.Sprintf("%q", n.Peers))
+		}
+	}
+	return c
+}
+
+// Settings returns the settings file of a node.
+func (c *Cluster) Settings(n *Node) string {
+	return fmt.Sprintf(`
+[node.identity]
+id = %q
+zone = %q
+region = "r0"
+[platform.http]
+address = %q
+[edge.callers]
+address = %q
+[edge.peers]
+address = %q
+key = %q
+[edge.operators]
+address = %q
+read_token = %q
+change_token = %q
+[upstream.local]
+listen = %q
+[membership.view]
+seeds = [%s]
+%s`, n.Name, c.zones[n.Name], c.Platform.Address, n.Callers, n.Peers, PeerKey, n.Operators,
+		ReadToken, ChangeToken, n.Announce, strings.Join(c.seeds, ", "), c.Extra)
+}
+
+// Start starts every node.
+func (c *Cluster) Start() {
+	c.H.tb.Helper()
+	for _, n := range c.Nodes {
+		n.Start(c.Settings(n))
+	}
+}
+
+// WaitReady waits until every node is ready.
+func (c *Cluster) WaitReady() {
+	c.H.tb.Helper()
+	for _, n := range c.Nodes {
+		n.WaitReady()
+	}
+}
+
+// Apply applies records in TOML through a node and returns the status and body
+// of its answer.
+func (c *Cluster) Apply(n *Node, publication, records string) (int, string) {
+	c.H.tb.Helper()
+	return c.Operate(n, http.MethodPost, "/v1/apply?publication="+publication, records)
+}
+
+// Operate sends an operators' request with the token of the role change.
+func (c *Cluster) Operate(n *Node, method, path, body string) (int, string) {
+	c.H.tb.Helper()
+	request, err := http.NewRequest(method, "http://"+n.Operators+path, bytes.NewBufferString(body))
+	if err != nil {
+		c.H.tb.Fatalf("%s %s: %v", method, path, err)
+	}
+	request.Header.Set("Authorization", "Bearer "+ChangeToken)
+	request.Header.Set("X-Operator", "test")
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = answer.Body.Close() }()
+	content, _ := io.ReadAll(answer.Body)
+	return answer.StatusCode, string(content)
+}
