Add the operators' API, its client and teaselctl

Cause: operators need commands whose outcome a script can rely on, also when an answer is lost. Change: operator (typed requests and responses that the node's edge also uses, a client that repeats a request only after a lost answer and with the same publication or move id), teaselctl with all commands, table and JSON output, a timeout on each wait and documented exit codes. After a lost answer a refusal such as platform_down decides nothing, because it speaks of the last try only, so the client goes on until its timeout. Not run against a node, which has no operators' edge yet. Conclusion: other front ends can use operator without cobra.

--- /dev/null
+++ b/cmd/teaselctl/main.go
@@ -0,0 +1,172 @@
+// Command teaselctl is the operators' command line of teaselring. It talks to
+// the operators' listener of any node.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"teaselring/operator"
+	"teaselring/result"
+)
+
+// Exit codes.
+const (
+	exitOK          = 0
+	exitRefused     = 1
+	exitUsage       = 2
+	exitTimeout     = 3
+	exitUnreachable = 4
+	exitTakenBack   = 5
+)
+
+const exitCodes = `Exit codes:
+  0  the request succeeded
+  1  the node refused the request with a numbered code, printed on stderr
+  2  the command line, a file or an environment variable is wrong
+  3  the timeout passed; what was asked for may still happen
+  4  the node is unreachable
+  5  the move that was watched has been taken back, or nodes refused a version that was waited for`
+
+// defaultTimeout is longer than a node takes for all tries of a publication on
+// a slow platform.
+const defaultTimeout = 30 * time.Second
+
+// exitError ends the program with a code of its own.
+type exitError struct {
+	code    int
+	message string
+}
+
+func (e *exitError) Error() string { return e.message }
+
+// cli holds the flags that all commands share.
+type cli struct {
+	env     func(string) string
+	stdout  io.Writer
+	stderr  io.Writer
+	address string
+	token   string
+	output  string
+	timeout time.Duration
+}
+
+func main() { os.Exit(run(os.Args[1:], os.Getenv, os.Stdout, os.Stderr)) }
+
+func run(args []string, env func(string) string, stdout, stderr io.Writer) int {
+	c := &cli{env: env, stdout: stdout, stderr: stderr}
+	root := c.root()
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	err := root.Execute()
+	if err != nil {
+		c.printError(err)
+	}
+	return exitCode(err)
+}
+
+func (c *cli) root() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "teaselctl",
+		Short:         "Declares configuration and moves, and shows what the nodes do",
+		Long:          "teaselctl declares configuration and moves, and shows what the nodes do.\n\n" + exitCodes,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	flags := root.PersistentFlags()
+	flags.StringVar(&c.address, "address", "", "operators' address of any node, IP:port (or env TEASELCTL_ADDRESS)")
+	flags.StringVar(&c.token, "token", "", "operator's token (or env TEASELCTL_TOKEN)")
+	flags.StringVarP(&c.output, "output", "o", "table", "table or json")
+	flags.DurationVar(&c.timeout, "timeout", defaultTimeout, "longest time to wait")
+	root.PersistentPreRunE = func(*cobra.Command, []string) error {
+		if c.output != "table" && c.output != "json" {
+			return fmt.Errorf("--output %q is not allowed; allowed is table or json", c.output)
+		}
+		if c.timeout <= 0 {
+			return fmt.Errorf("--timeout %v is not allowed; allowed is a time above 0", c.timeout)
+		}
+		return nil
+	}
+	root.AddCommand(c.apply(), c.validate(), c.get(), c.diff(), c.status(), c.move(), c.drain(), c.audit(), c.version())
+	return root
+}
+
+// command returns a command whose run gets a client and a context that ends
+// with the timeout.
+func (c *cli) command(use, short string, args cobra.PositionalArgs, run func(ctx context.Context, client *operator.Client, args []string) error) *cobra.Command {
+	return &cobra.Command{
+		Use: use, Short: short, Args: args,
+		RunE: func(_ *cobra.Command, args []string) error {
+			client, err := c.client()
+			if err != nil {
+				return err
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
+			defer cancel()
+			return run(ctx, client, args)
+		},
+	}
+}
+
+func (c *cli) client() (*operator.Client, error) {
+	address, token := c.address, c.token
+	if address == "" {
+		address = c.env("TEASELCTL_ADDRESS")
+	}
+	if token == "" {
+		token = c.env("TEASELCTL_TOKEN")
+	}
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, fmt.Errorf("address %q is not allowed; allowed is the IP:port of a node's operators' listener", address)
+	}
+	client := operator.New(parsed, token)
+	client.Progress = func(message string) { fmt.Fprintln(c.stderr, message) }
+	return client, nil
+}
+
+// exitCode classifies an error. What is no answer and no lack of one is a
+// mistake in the command line.
+func exitCode(err error) int {
+	var exit *exitError
+	var refused *result.Error
+	var transport *operator.TransportError
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &exit):
+		return exit.code
+	case errors.As(err, &transport) && !transport.Sent:
+		return exitUnreachable
+	case errors.Is(err, context.DeadlineExceeded):
+		return exitTimeout
+	case errors.As(err, &refused):
+		return exitRefused
+	case errors.As(err, &transport):
+		return exitUnreachable
+	default:
+		return exitUsage
+	}
+}
+
+func (c *cli) version() *cobra.Command {
+	return &cobra.Command{
+		Use: "version", Short: "Print the version of teaselctl", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			version := "unknown"
+			if info, ok := debug.ReadBuildInfo(); ok {
+				version = info.Main.Version
+			}
+			return c.print(map[string]string{"version": version}, func(t *table) { t.row(version) })
+		},
+	}
+}
