Test announcements of the upstream stand-in and settings of platform.http

Cause: nodes rely on both, and neither had a test. Change: the harness tests receive announcements, with the change to draining at SIGTERM; settings files with a missing or bad address or timeout are refused with their line.

--- a/plugins/platformhttp/client_test.go
+++ b/plugins/platformhttp/client_test.go
@@ -78,6 +78,24 @@
 	Entry("never answered", stall, result.PlatformDown, uint64(0)),
 )
 
+// A node that starts without a platform address would serve no configuration
+// and not say why.
+var _ = DescribeTable("settings", func(content, mention string) {
+	settings, err := kernel.Parse("node.toml", []byte("[platform.http]\n"+content))
+	if mention != "" {
+		Expect(err).To(MatchError(ContainSubstring(mention)))
+		return
+	}
+	Expect(err).NotTo(HaveOccurred())
+	Expect(settings.Of("platform.http").(*Settings).Timeout).To(Equal(kernel.Span(2 * time.Second)))
+},
+	Entry("default timeout", `address = "127.0.0.1:80"`, ""),
+	Entry("no address", "", "IP:port of the platform"),
+	Entry("address that is a name", `address = "platform:80"`, "node.toml:2"),
+	Entry("timeout too short", "address = \"127.0.0.1:80\"\ntimeout = \"99ms\"", "node.toml:3"),
+	Entry("timeout too long", "address = \"127.0.0.1:80\"\ntimeout = \"31s\"", "100ms to 30s"),
+)
+
 var _ = Describe("the client", func() {
 	// A refused connection is the one failure of a write that proves it was not sent.
 	It("reports a write that could not be sent as not written", func() {
--- a/test/harness/harness_test.go
+++ b/test/harness/harness_test.go
@@ -1,9 +1,11 @@
 package harness
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -71,6 +73,35 @@
 		Expect(u.Calls()).NotTo(ContainElement(And(HaveField("Event", "ended"), HaveField("Key", "k6"))))
 	})
 
+	It("runs an upstream that announces each change and its end", func() {
+		seen := make(chan map[string]any, 64)
+		node := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			var body map[string]any
+			_ = json.NewDecoder(r.Body).Decode(&body)
+			body["url"] = r.Method + " " + r.RequestURI
+			seen <- body
+		}))
+		DeferCleanup(node.Close)
+		u := New(GinkgoT()).StartUpstream("u1", "billing", "v2", node.Listener.Addr().String(), "-slots", "4")
+		var first, drained map[string]any
+		Eventually(seen, Deadline).Should(Receive(&first))
+		Expect(first).To(And(HaveLen(7), HaveKeyWithValue("process", Not(BeEmpty()))))
+		for key, want := range map[string]any{
+			"url": "POST /announce", "service": "billing", "version": "v2",
+			"address": u.Address, "slots": 4.0, "state": "ready",
+		} {
+			Expect(first).To(HaveKeyWithValue(key, want))
+		}
+		u.Control(map[string]any{"state": "starting"})
+		Eventually(seen, Deadline).Should(Receive(HaveKeyWithValue("state", "starting")))
+		u.Stop()
+		for len(seen) > 0 {
+			drained = <-seen
+		}
+		Expect(drained).To(HaveKeyWithValue("state", "draining"))
+		Expect(u.ExitCode()).To(BeZero())
+	})
+
 	It("runs a platform, pauses it and stops it", func() {
 		h := New(GinkgoT())
 		p := h.StartPlatform("-writes-per-second", "0")
