Add the plug-in that writes the audit trail

Cause: refusals, drains and quarantines need a trail that survives outages. Conclusion: a lost answer or a restart leads to no second row and no gap.

--- /dev/null
+++ b/plugins/audittrail/audit.go
@@ -0,0 +1,235 @@
+package audittrail
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+
+	"teaselring/kernel"
+	"teaselring/mesh"
+	"teaselring/port"
+	"teaselring/result"
+)
+
+const (
+	firstRetry = 250 * time.Millisecond
+	// The stream carries the incarnation that the members duty chose, unless
+	// the duty does not show one within viewWait of the start.
+	viewWait  = 2 * time.Second
+	viewCheck = 50 * time.Millisecond
+)
+
+type dependencies struct {
+	fx.In
+	Self    mesh.Identity
+	Table   port.Table
+	Entries *port.AuditRing
+	Logger  *log.Logger
+	Metrics metrics.Registry
+	View    *port.ViewCell `optional:"true"`
+}
+
+// writer is the state of the audit duty.
+type writer struct {
+	dependencies
+	settings *Settings
+	journal  journal
+	refused  uint64 // entries that the ring had refused when it was last looked at
+	written  metrics.Counter
+	retries  metrics.Counter
+	dropped  metrics.Counter
+}
+
+func newDuty(in dependencies, settings *Settings) kernel.Duty {
+	w := &writer{
+		dependencies: in,
+		settings:     settings,
+		journal:      journal{node: in.Self.Node},
+		written:      metrics.GetOrRegisterCounter("audit.written", in.Metrics),
+		retries:      metrics.GetOrRegisterCounter("audit.retries", in.Metrics),
+		dropped:      metrics.GetOrRegisterCounter("audit.dropped", in.Metrics),
+	}
+	return kernel.Duty{Name: "audit", Owns: "entries not yet written", In: []string{"audit.entries"}, Run: w.run}
+}
+
+func (w *writer) run(ctx context.Context) error {
+	w.chooseIncarnation(ctx)
+	for ctx.Err() == nil {
+		w.collect(ctx)
+		w.flush(ctx)
+	}
+	w.finish(ctx)
+	return nil
+}
+
+// chooseIncarnation waits for the node's own entry in the view, so that the
+// stream has the name that peers know this life of the node by.
+func (w *writer) chooseIncarnation(ctx context.Context) {
+	started := time.Now()
+	w.journal.incarnation = mesh.Incarnation(started.UnixMilli())
+	for w.View != nil && time.Since(started) < viewWait && ctx.Err() == nil {
+		if own, known := w.ownIncarnation(); known {
+			w.journal.incarnation = own
+			return
+		}
+		pause(ctx, viewCheck)
+	}
+}
+
+func (w *writer) ownIncarnation() (mesh.Incarnation, bool) {
+	view := w.View.Load()
+	if view == nil {
+		return 0, false
+	}
+	for i := range view.Members {
+		if view.Members[i].Node == w.Self.Node {
+			return view.Members[i].Incarnation, true
+		}
+	}
+	return 0, false
+}
+
+// collect waits for an entry and gathers a batch.
+func (w *writer) collect(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case entry := <-w.Entries.C():
+		w.add(entry)
+	}
+	linger := time.NewTimer(w.settings.Linger.Duration)
+	defer linger.Stop()
+	for !w.journal.full() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-linger.C:
+			return
+		case entry := <-w.Entries.C():
+			w.add(entry)
+		}
+	}
+}
+
+// add counts entries that the ring refused into the entry that follows them.
+func (w *writer) add(entry port.AuditEntry) {
+	refused := w.Entries.Refused()
+	w.journal.lost += refused - w.refused
+	w.dropped.Inc(int64(refused - w.refused))
+	w.refused = refused
+	w.journal.add(entry, time.Now())
+}
+
+// flush writes the batch, however long the platform is away. Meanwhile the
+// ring keeps what comes.
+func (w *writer) flush(ctx context.Context) {
+	wait := firstRetry
+	for len(w.journal.batch) > 0 {
+		err := w.write(ctx)
+		if err == nil {
+			return
+		}
+		if !w.retry(err) {
+			continue
+		}
+		if !pause(ctx, time.Duration((0.5+rand.Float64()/2)*float64(wait))) {
+			return
+		}
+		wait = min(2*wait, w.settings.RetryMax.Duration)
+	}
+}
+
+// retry reports whether the batch is to be written again, and gives it up when
+// the platform will never accept it.
+func (w *writer) retry(err error) bool {
+	code := result.Of(err)
+	w.Logger.Warn().Str("node", string(w.Self.Node)).Int("code", code.Number).Err(err).Msg("audit entries not written")
+	switch code {
+	case result.PlatformDown, result.PlatformUnknown, result.PlatformLimit, result.RowConflict, result.Internal:
+		w.retries.Inc(1)
+		return true
+	}
+	w.dropped.Inc(int64(len(w.journal.batch)))
+	w.journal.drop()
+	return false
+}
+
+// write tries once to write the batch.
+func (w *writer) write(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, w.settings.WriteTimeout.Duration)
+	defer cancel()
+	txn, err := w.journal.txn()
+	if err != nil {
+		return err
+	}
+	err = w.Table.Commit(ctx, txn)
+	if result.Of(err) == result.RowConflict {
+		err = w.resolve(ctx, txn.Puts[0])
+	}
+	if err == nil {
+		w.written.Inc(int64(len(w.journal.batch)))
+		w.journal.written()
+	}
+	return err
+}
+
+// resolve finds out why a row of the batch exists: an earlier try whose answer
+// was lost wrote all of them, or another life of the node used the stream.
+func (w *writer) resolve(ctx context.Context, first port.Put) error {
+	row, err := w.Table.Get(ctx, first.Table, first.Key)
+	if err != nil {
+		return err
+	}
+	if bytes.Equal(row.Value, first.Value) {
+		return nil
+	}
+	w.journal.renew(w.journal.incarnation + 1)
+	return result.RowConflict.Errorf("stream of key %s is in use; the next incarnation is tried", first.Key)
+}
+
+// finish writes what is left at shutdown, within the write timeout.
+func (w *writer) finish(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), w.settings.WriteTimeout.Duration)
+	defer cancel()
+	for ctx.Err() == nil {
+		// A batch that was tried before must stay as it is: it may have been
+		// written, and an entry added to it now would be taken for written too.
+		w.flush(ctx)
+		if len(w.journal.batch) > 0 {
+			break
+		}
+		w.drain()
+		if len(w.journal.batch) == 0 {
+			return
+		}
+	}
+	w.Logger.Warn().Str("node", string(w.Self.Node)).Int("entries", len(w.journal.batch)+w.Entries.Len()).Msg("audit entries lost at shutdown")
+}
+
+func (w *writer) drain() {
+	for !w.journal.full() {
+		select {
+		case entry := <-w.Entries.C():
+			w.add(entry)
+		default:
+			return
+		}
+	}
+}
+
+// pause reports whether the time passed before ctx ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
