--- a/mesh/member.go
+++ b/mesh/member.go
@@ -46,6 +46,9 @@
 	Endpoint    Endpoint  `json:"endpoint" cbor:"8,keyasint"`
 	// InForce is the configuration version that the node reported last.
 	InForce Version `json:"in_force" cbor:"9,keyasint"`
+	// SuspectedBy lists the nodes that suspect this incarnation and sequence,
+	// sorted. It is kept in state dead, to show who reported the silence.
+	SuspectedBy []NodeID `json:"suspected_by,omitempty" cbor:"10,keyasint,omitempty"`
 }
 
 // Ready reports whether new work may be sent to the member's upstream.
--- a/port/edges.go
+++ b/port/edges.go
@@ -3,11 +3,18 @@
 import (
 	"crypto/tls"
 	"net/http"
+	"net/netip"
 
 	"github.com/gin-gonic/gin"
 	"go.uber.org/fx"
+
+	"teaselring/kernel"
 )
 
+// PeerAddressCell holds the address of the node's own peers' listener. It is
+// nil until edge.peers has opened the listener.
+type PeerAddressCell = kernel.Cell[netip.AddrPort]
+
 // PeerRoute is a handler on the peers' listener. Only authenticated peers
 // reach it.
 type PeerRoute struct {
--- a/port/links.go
+++ b/port/links.go
@@ -21,7 +21,8 @@
 type LinkEvent struct {
 	Up     bool
 	Hello  wire.Hello // of the peer
-	Silent bool       // it went down because the peer was silent for the heartbeat timeout
+	Silent bool       // the peer was silent for the heartbeat timeout or can't be reached
+	Lost   bool       // the connection broke without a close message of either end
 }
 
 // In is a message or event of one link.
--- a/port/members.go
+++ b/port/members.go
@@ -36,3 +36,18 @@
 
 // DrainRing leads from the operators' edge to the announce duty.
 type DrainRing = kernel.Ring[kernel.Ask[Drain, struct{}]]
+
+// Seeds are peer addresses (IP:port) to dial when the view is empty or out of
+// touch with a part of the mesh.
+type Seeds struct{ Addresses []string }
+
+// SeedsCell holds the seeds of the settings and the platform. It is stored by
+// the seeds duty and nil before its first look.
+type SeedsCell = kernel.Cell[Seeds]
+
+// AnnounceAddressCell holds the address at which the upstream beside the node
+// announces itself. It is nil until the listener is open.
+type AnnounceAddressCell = kernel.Cell[AnnounceAddress]
+
+// AnnounceAddress is a loopback IP:port.
+type AnnounceAddress struct{ netip.AddrPort }
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -31,14 +31,19 @@
 	ViewDigest uint64       `cbor:"3,keyasint"`
 }
 
-// Members carries changed member entries, or the whole view when Full is set.
+// Members carries changed member entries, or the answer to a MembersRequest
+// when Full is set.
 type Members struct {
 	Full    bool          `cbor:"1,keyasint"`
 	Members []mesh.Member `cbor:"2,keyasint"`
 }
 
-// MembersRequest asks for the whole view.
-type MembersRequest struct{}
+// MembersRequest asks for the view, or for the parts of it whose digests
+// differ from Buckets when these are given. The parts are those of
+// membership.State.Buckets.
+type MembersRequest struct {
+	Buckets []uint64 `cbor:"1,keyasint,omitempty"`
+}
 
 // ConfigOffer announces a configuration version that the sender holds.
 type ConfigOffer struct {
