--- /dev/null
+++ b/decision/membership/endpoint.go
@@ -0,0 +1,59 @@
+package membership
+
+import (
+	"time"
+
+	"teaselring/mesh"
+)
+
+// Upstream follows the announcements of the upstream beside the node.
+type Upstream struct {
+	goneAfter time.Duration
+	endpoint  mesh.Endpoint
+	heard     time.Time
+	drained   string // process that an operator drains
+}
+
+// NewUpstream returns the state before the first announcement. An upstream is
+// gone when it has not announced itself for goneAfter.
+func NewUpstream(goneAfter time.Duration) *Upstream { return &Upstream{goneAfter: goneAfter} }
+
+// Endpoint returns the current endpoint.
+func (u *Upstream) Endpoint() mesh.Endpoint { return u.endpoint }
+
+// Announce takes an announcement and reports whether the endpoint changed.
+// Draining is final for one process: a late announcement from before it must
+// not bring the upstream back.
+func (u *Upstream) Announce(e mesh.Endpoint, now time.Time) bool {
+	u.heard = now
+	same := e.Process == u.endpoint.Process
+	if e.Process == u.drained || (same && u.endpoint.State == mesh.EndpointDraining) {
+		e.State = mesh.EndpointDraining
+	}
+	if e == u.endpoint {
+		return false
+	}
+	u.endpoint = e
+	return true
+}
+
+// Drain marks the running process as draining until it is replaced. It
+// returns false when no upstream is running.
+func (u *Upstream) Drain() bool {
+	if u.endpoint.State == mesh.EndpointNone || u.endpoint.State == mesh.EndpointGone {
+		return false
+	}
+	u.drained = u.endpoint.Process
+	u.endpoint.State = mesh.EndpointDraining
+	return true
+}
+
+// Tick reports whether the upstream has just gone.
+func (u *Upstream) Tick(now time.Time) bool {
+	running := u.endpoint.State != mesh.EndpointNone && u.endpoint.State != mesh.EndpointGone
+	if !running || now.Sub(u.heard) < u.goneAfter {
+		return false
+	}
+	u.endpoint.State = mesh.EndpointGone
+	return true
+}
