Add the plug-ins link.overlay, membership.view and upstream.local

Nodes had no way to know each other. link.overlay keeps WebSocket links over mutual TLS with a reader and a writer duty each; membership.view publishes the view and repairs it part by part; upstream.local takes announcements on loopback.

A link duty never waits for another one: a slow peer loses its link, and events for a full members inbox are kept. A dial that finds nobody twice counts as silence, so that a node is noticed as dead when all its watchers died with it. A full node names other addresses to whom it refuses, so that a few seeds can start a large mesh.

--- a/decision/membership/endpoint.go
+++ b/decision/membership/endpoint.go
@@ -6,11 +6,15 @@
 	"teaselring/mesh"
 )
 
+// pauseLimit is the gap between ticks that shows a pause of the node.
+const pauseLimit = 500 * time.Millisecond
+
 // Upstream follows the announcements of the upstream beside the node.
 type Upstream struct {
 	goneAfter time.Duration
 	endpoint  mesh.Endpoint
 	heard     time.Time
+	lastTick  time.Time
 	drained   string // process that an operator drains
 }
 
@@ -48,8 +52,14 @@
 	return true
 }
 
-// Tick reports whether the upstream has just gone.
+// Tick reports whether the upstream has just gone. It is called every 100 ms.
+// A gap between calls shows that the node was paused and could not listen, so
+// the upstream is given that time.
 func (u *Upstream) Tick(now time.Time) bool {
+	if gap := now.Sub(u.lastTick); !u.lastTick.IsZero() && gap >= pauseLimit {
+		u.heard = u.heard.Add(gap)
+	}
+	u.lastTick = now
 	running := u.endpoint.State != mesh.EndpointNone && u.endpoint.State != mesh.EndpointGone
 	if !running || now.Sub(u.heard) < u.goneAfter {
 		return false
--- a/decision/membership/membership_test.go
+++ b/decision/membership/membership_test.go
@@ -245,12 +245,22 @@
 		u := NewUpstream(3 * time.Second)
 		Expect(u.Announce(ready, start)).To(BeTrue())
 		Expect(u.Announce(ready, after(time.Second))).To(BeFalse())
-		Expect(u.Tick(after(3900 * time.Millisecond))).To(BeFalse())
+		for d := time.Second; d < 4*time.Second; d += 100 * time.Millisecond {
+			Expect(u.Tick(after(d))).To(BeFalse())
+		}
 		Expect(u.Tick(after(4 * time.Second))).To(BeTrue())
-		Expect(u.Tick(after(5 * time.Second))).To(BeFalse())
+		Expect(u.Tick(after(4100 * time.Millisecond))).To(BeFalse())
 		Expect(u.Announce(ready, after(6*time.Second))).To(BeTrue())
 	})
 
+	It("is not gone because the node was paused", func() {
+		u := NewUpstream(3 * time.Second)
+		u.Announce(ready, start)
+		u.Tick(start)
+		Expect(u.Tick(after(20 * time.Second))).To(BeFalse())
+		Expect(u.Tick(after(20100 * time.Millisecond))).To(BeFalse())
+	})
+
 	It("stays draining until another process takes its place", func() {
 		u := NewUpstream(3 * time.Second)
 		Expect(u.Drain()).To(BeFalse())
--- a/decision/membership/state.go
+++ b/decision/membership/state.go
@@ -26,7 +26,7 @@
 		SuspectAfter: 1500 * time.Millisecond,
 		DeadAfter:    2500 * time.Millisecond,
 		TombstoneFor: 10 * time.Minute,
-		PauseLimit:   500 * time.Millisecond,
+		PauseLimit:   pauseLimit,
 		MaxMembers:   5000,
 	}
 }
@@ -95,6 +95,9 @@
 // Counts returns the totals since the start.
 func (s *State) Counts() Counts { return s.counts }
 
+// Len returns the number of members in any state.
+func (s *State) Len() int { return len(s.entries) }
+
 // Size returns the number of members in each state.
 func (s *State) Size() map[mesh.NodeState]int {
 	size := map[mesh.NodeState]int{}
@@ -275,7 +278,7 @@
 		return nil
 	}
 	s.viewDone = true
-	return &mesh.View{Self: s.self, Members: s.all()}
+	return &mesh.View{Self: s.self, Members: s.all(), Digest: s.Digest()}
 }
 
 func (s *State) all() []mesh.Member {
@@ -299,11 +302,11 @@
 	})
 }
 
-// SetInForce records the configuration version that a member reported in a
-// heartbeat. It is not spread: the member's own entry carries it from time to
-// time.
+// SetInForce records the configuration version of the node itself or of a
+// member that reported it in a heartbeat. It is not spread: the member's own
+// entry carries it from time to time.
 func (s *State) SetInForce(node mesh.NodeID, version mesh.Version) {
-	if e := s.entries[node]; e != nil && node != s.self && e.InForce < version {
+	if e := s.entries[node]; e != nil && e.InForce < version {
 		e.InForce = version
 		s.viewDone = false
 	}
--- a/mesh/member.go
+++ b/mesh/member.go
@@ -1,5 +1,7 @@
 package mesh
 
+import "sort"
+
 // NodeState is what the members agree on about a node.
 type NodeState uint8
 
@@ -60,4 +62,15 @@
 type View struct {
 	Self    NodeID
 	Members []Member
+	// Digest is equal on nodes that know the same entries of live members.
+	Digest uint64
+}
+
+// Member returns the entry of a node, or nil when it is not known.
+func (v *View) Member(node NodeID) *Member {
+	i := sort.Search(len(v.Members), func(i int) bool { return v.Members[i].Node >= node })
+	if i == len(v.Members) || v.Members[i].Node != node {
+		return nil
+	}
+	return &v.Members[i]
 }
--- /dev/null
+++ b/plugins/linkoverlay/accept.go
@@ -0,0 +1,98 @@
+package linkoverlay
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+
+	"github.com/gorilla/websocket"
+
+	"teaselring/kernel"
+	"teaselring/mesh"
+	"teaselring/port"
+	"teaselring/result"
+)
+
+// acceptQuery asks the links duty for a place for one more accepted link. The
+// place is kept until the outcome is reported or a time limit passes.
+type acceptQuery struct{}
+
+// acceptor is the accepting side at the edge of the peers' listener.
+type acceptor struct {
+	settings *Settings
+	hello    *helloCell
+	view     *port.ViewCell
+	accepts  *kernel.Ring[kernel.Ask[acceptQuery, struct{}]]
+	events   *kernel.Ring[event]
+	upgrader websocket.Upgrader
+}
+
+func newAcceptor(s *Settings, hello *helloCell, view *port.ViewCell, accepts *kernel.Ring[kernel.Ask[acceptQuery, struct{}]], events *kernel.Ring[event]) *acceptor {
+	return &acceptor{
+		settings: s, hello: hello, view: view, accepts: accepts, events: events,
+		upgrader: websocket.Upgrader{HandshakeTimeout: s.DialTimeout.Duration},
+	}
+}
+
+func (a *acceptor) routes() []port.PeerRoute {
+	return []port.PeerRoute{{Method: http.MethodGet, Path: path, Handler: a}}
+}
+
+// ServeHTTP upgrades a request to a link when the links duty has a place.
+func (a *acceptor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), a.settings.DialTimeout.Duration)
+	defer cancel()
+	own := a.hello.Load()
+	if own == nil {
+		a.refuse(w, result.TooManyLinks.Errorf("the node is starting"))
+		return
+	}
+	if _, err := kernel.Do(ctx, a.accepts, acceptQuery{}); err != nil {
+		a.refuse(w, err)
+		return
+	}
+	accepted := event{accepted: &acceptResult{}}
+	if conn, err := a.upgrader.Upgrade(w, r, nil); err == nil {
+		peer, err := exchangeHello(conn, own, a.settings.DialTimeout.Duration)
+		if err == nil {
+			accepted.accepted.conn = &connection{conn: conn, peer: peer, dialer: peer.Node}
+		} else {
+			closeNow(conn)
+		}
+	}
+	// The request's context may have ended with the upgrade.
+	sendCtx, stop := context.WithTimeout(context.Background(), a.settings.DialTimeout.Duration)
+	defer stop()
+	if a.events.Send(sendCtx, accepted) != nil && accepted.accepted.conn != nil {
+		closeNow(accepted.accepted.conn.conn)
+	}
+}
+
+// refuse answers with the code and with addresses of other nodes, so that a
+// node which only knows a full seed finds its way into the mesh.
+func (a *acceptor) refuse(w http.ResponseWriter, err error) {
+	e := result.From(err)
+	body := refusalBody{Code: e.Code.Number, Name: e.Code.Name, Message: e.Message, Peers: somePeers(a.view.Load(), maxHints)}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(e.Code.Status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// somePeers returns the addresses of n randomly chosen live members.
+func somePeers(view *mesh.View, n int) []string {
+	if view == nil {
+		return nil
+	}
+	var list []string
+	for _, i := range rand.Perm(len(view.Members)) {
+		m := &view.Members[i]
+		if m.State == mesh.NodeAlive && m.Node != view.Self && m.PeerAddress != "" {
+			list = append(list, m.PeerAddress)
+		}
+		if len(list) == n {
+			break
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/plugins/linkoverlay/dialer.go
@@ -0,0 +1,118 @@
+package linkoverlay
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/gorilla/websocket"
+
+	"teaselring/kernel"
+	"teaselring/mesh"
+	"teaselring/port"
+	"teaselring/result"
+)
+
+// dialRequest asks a dialer duty for a link.
+type dialRequest struct {
+	address string      // IP:port
+	node    mesh.NodeID // expected there; empty for a seed
+	rejoin  bool        // an address out of touch, tried once
+}
+
+// dialResult is the outcome of a dialRequest.
+type dialResult struct {
+	request dialRequest
+	conn    *connection // nil after a failure
+	err     error
+	hints   []string // other addresses that a full peer named
+}
+
+// dialer is run by several duties that share one ring of requests.
+type dialer struct {
+	settings *Settings
+	hello    *helloCell
+	requests *kernel.Ring[dialRequest]
+	events   *kernel.Ring[event]
+	client   *tls.Config
+}
+
+func newDialer(s *Settings, hello *helloCell, requests *kernel.Ring[dialRequest], events *kernel.Ring[event], t port.PeerTLS) *dialer {
+	client := t.Client.Clone()
+	client.NextProtos = []string{"http/1.1"} // WebSocket upgrades don't exist in HTTP/2 here
+	return &dialer{settings: s, hello: hello, requests: requests, events: events, client: client}
+}
+
+func (d *dialer) duty(name string) kernel.Duty {
+	return kernel.Duty{
+		Name: name,
+		Owns: "the connection that it is opening",
+		In:   []string{"links.dials"},
+		Out:  []string{"links.events"},
+		Run:  d.run,
+	}
+}
+
+func (d *dialer) run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case r := <-d.requests.C():
+			outcome := d.dial(ctx, r)
+			if err := d.events.Send(ctx, event{dialled: &outcome}); err != nil && outcome.conn != nil {
+				closeNow(outcome.conn.conn)
+			}
+		}
+	}
+}
+
+func (d *dialer) dial(ctx context.Context, r dialRequest) dialResult {
+	timeout := d.settings.DialTimeout.Duration
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	ws := websocket.Dialer{TLSClientConfig: d.client, HandshakeTimeout: timeout}
+	conn, response, err := ws.DialContext(ctx, "wss://"+r.address+path, nil)
+	if err != nil {
+		return refusal(r, response, err)
+	}
+	own := d.hello.Load()
+	peer, err := exchangeHello(conn, own, timeout)
+	if err != nil {
+		closeNow(conn)
+		return dialResult{request: r, err: err}
+	}
+	return dialResult{request: r, conn: &connection{conn: conn, peer: peer, dialer: own.Node}}
+}
+
+// refusal reads the code and the hints of a peer that answered with an error.
+func refusal(r dialRequest, response *http.Response, err error) dialResult {
+	if response == nil {
+		return dialResult{request: r, err: result.ConnectFailed.Errorf("dial %s: %v", r.address, err)}
+	}
+	var body refusalBody
+	b, _ := io.ReadAll(io.LimitReader(response.Body, 4096))
+	if json.Unmarshal(b, &body) != nil || body.Code == 0 {
+		return dialResult{request: r, err: result.ConnectFailed.Errorf("dial %s: status %d", r.address, response.StatusCode)}
+	}
+	refused := result.ByNumber(body.Code).Errorf("dial %s: %s", r.address, body.Message)
+	return dialResult{request: r, err: refused, hints: body.Peers[:min(len(body.Peers), maxHints)]}
+}
+
+// unreachable reports whether a failure shows that no node is running there,
+// as opposed to a node that refused.
+func unreachable(err error) bool { return result.Of(err) == result.ConnectFailed }
+
+// maxHints is the number of addresses that a refusal names. Their JSON must
+// fit the 1,024 bytes that the WebSocket client keeps of an error's body.
+const maxHints = 8
+
+// refusalBody is the JSON of a refused link.
+type refusalBody struct {
+	Code    int      `json:"code"`
+	Name    string   `json:"name"`
+	Message string   `json:"message"`
+	Peers   []string `json:"peers,omitempty"` // of other nodes that may have a place
+}
--- /dev/null
+++ b/plugins/linkoverlay/links.go
@@ -0,0 +1,304 @@
+package linkoverlay
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"teaselring/decision/overlay"
+	"teaselring/kernel"
+	"teaselring/mesh"
+	"teaselring/port"
+	"teaselring/wire"
+)
+
+// event is what dialers, the accepting edge and readers report to the links
+// duty. Exactly one field is set.
+type event struct {
+	dialled  *dialResult
+	accepted *acceptResult
+	ended    *ended
+	crash    *crashSeen
+}
+
+type acceptResult struct{ conn *connection } // nil when the handshake failed
+
+type ended struct {
+	link   *link
+	reason error
+}
+
+type crashSeen struct {
+	from       mesh.NodeID
+	quarantine wire.Quarantine
+}
+
+// ticksPerHeartbeat sets how exactly silence is measured: a fifth of a
+// heartbeat, 100 ms by default.
+const ticksPerHeartbeat = 5
+
+// links is the duty that owns the set of links.
+type links struct {
+	parts
+	meters  *meters
+	inboxes *inboxes
+	running sync.WaitGroup // readers and writers
+
+	byNode    map[mesh.NodeID]*link
+	admission overlay.Admission
+	places    []time.Time // deadlines of places promised to the accepting edge
+	plan      plan
+	crashes   crashLog
+	unsent    []port.MembersIn // events that the members inbox had no room for
+
+	ticks     uint64
+	sequence  uint64 // of heartbeats
+	lastTick  time.Time
+	noSilence time.Time // no link counts as silent before this time
+}
+
+func newLinks(p parts) *links {
+	l := &links{
+		parts:  p,
+		meters: newMeters(p.Metrics),
+		byNode: map[mesh.NodeID]*link{},
+		admission: overlay.Admission{
+			MaxLinks:  p.Settings.MaxAccepted,
+			PerSecond: float64(p.Settings.AcceptPerSecond),
+		},
+		plan:    newPlan(),
+		crashes: newCrashLog(),
+	}
+	l.inboxes = &inboxes{events: p.Events, members: p.Members, config: p.Config, moves: p.Moves, meters: l.meters}
+	return l
+}
+
+func (l *links) duty() kernel.Duty {
+	return kernel.Duty{
+		Name: "links",
+		Owns: "the set of links",
+		In:   []string{"links.push", "links.events", "links.accepts"},
+		Out:  []string{"links.dials", "link.send", "members.updates", "config.offers", "slots.crashes"},
+		Run:  l.run,
+	}
+}
+
+func (l *links) run(ctx context.Context) error {
+	ticker := time.NewTicker(l.Settings.Heartbeat.Duration / ticksPerHeartbeat)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			l.stop()
+			return nil
+		case <-ticker.C:
+			l.tick(time.Now())
+		case p := <-l.Push.C():
+			l.push(p)
+		case e := <-l.Events.C():
+			l.handle(e, time.Now())
+		case a := <-l.Accepts.C():
+			l.accept(a, time.Now())
+		}
+	}
+}
+
+func (l *links) tick(now time.Time) {
+	l.sendUnsent()
+	l.allowForPause(now)
+	if !l.refreshHello() {
+		return
+	}
+	for _, k := range l.byNode {
+		if now.After(l.noSilence) && now.Sub(*k.heard.Load()) >= l.Settings.Silence.Duration {
+			l.drop(k, errSilent)
+		}
+	}
+	l.planDials(now)
+	if l.ticks%ticksPerHeartbeat == 0 {
+		l.heartbeat()
+	}
+	l.ticks++
+	l.meters.up.Update(int64(len(l.byNode)))
+	l.meters.accepted.Update(int64(l.acceptedLinks()))
+}
+
+// allowForPause gives the readers one heartbeat to catch up after this node
+// was paused: what the peers sent meanwhile is still in the sockets' buffers.
+func (l *links) allowForPause(now time.Time) {
+	if !l.lastTick.IsZero() && now.Sub(l.lastTick) > l.Settings.Heartbeat.Duration {
+		l.noSilence = now.Add(l.Settings.Heartbeat.Duration)
+	}
+	l.lastTick = now
+}
+
+// refreshHello updates the Hello. It returns false as long as the node does
+// not know its own address or entry.
+func (l *links) refreshHello() bool {
+	address, view := l.Address.Load(), l.View.Load()
+	if address == nil || view == nil {
+		return false
+	}
+	h := wire.Hello{
+		Protocol: wire.Protocol, Node: l.Identity.Node, Zone: l.Identity.Zone, Region: l.Identity.Region,
+		PeerAddress: address.String(), InForce: l.inForce(),
+	}
+	if own := view.Member(l.Identity.Node); own != nil {
+		h.Incarnation = own.Incarnation
+	}
+	h.ViewDigest = view.Digest
+	if old := l.Hello.Load(); old == nil || *old != h {
+		l.Hello.Store(&h)
+	}
+	return true
+}
+
+func (l *links) inForce() mesh.Version {
+	if l.Snapshot == nil {
+		return 0
+	}
+	if s := l.Snapshot.Load(); s != nil {
+		return s.Version
+	}
+	return 0
+}
+
+func (l *links) handle(e event, now time.Time) {
+	switch {
+	case e.dialled != nil:
+		l.dialled(e.dialled, now)
+	case e.accepted != nil:
+		l.releasePlace()
+		if e.accepted.conn != nil {
+			l.add(e.accepted.conn, now)
+		}
+	case e.ended != nil:
+		if k := e.ended.link; l.byNode[k.peer.Node] == k {
+			l.drop(k, e.ended.reason)
+		}
+	case e.crash != nil:
+		l.crashSeen(e.crash)
+	}
+}
+
+// accept promises a place to the accepting edge or refuses it.
+func (l *links) accept(a kernel.Ask[acceptQuery, struct{}], now time.Time) {
+	for len(l.places) > 0 && now.After(l.places[0]) {
+		l.places = l.places[1:]
+	}
+	if err := l.admission.Admit(now, l.acceptedLinks()+len(l.places)); err != nil {
+		l.meters.refused.Inc(1)
+		a.Fail(err)
+		return
+	}
+	// The edge reports within the time for the upgrade, the hello and the event.
+	l.places = append(l.places, now.Add(3*l.Settings.DialTimeout.Duration))
+	a.Answer(struct{}{})
+}
+
+func (l *links) releasePlace() {
+	if len(l.places) > 0 {
+		l.places = l.places[1:]
+	}
+}
+
+func (l *links) acceptedLinks() int {
+	n := 0
+	for _, k := range l.byNode {
+		if k.dialer != l.Identity.Node {
+			n++
+		}
+	}
+	return n
+}
+
+// add takes a connection into the set, unless a better link to the same node
+// exists.
+func (l *links) add(c *connection, now time.Time) {
+	k := newLink(c, now, l.Settings.SendRing)
+	if old := l.byNode[c.peer.Node]; old != nil {
+		restarted := c.peer.Incarnation > old.peer.Incarnation
+		if !restarted && !overlay.KeepNew(old.dialer, c.dialer, l.Identity.Node, c.peer.Node) {
+			k.end(errReplaced)
+			l.start(k)
+			return
+		}
+		l.drop(old, errReplaced)
+	}
+	l.byNode[c.peer.Node] = k
+	l.event(port.LinkEvent{Up: true, Hello: c.peer})
+	if l.Config.Ring != nil {
+		_ = l.Config.Send(k.ctx, port.In[wire.Message]{From: c.peer.Node, Message: c.peer})
+	}
+	l.Logger.Info().Str("peer", string(c.peer.Node)).Str("dialer", string(c.dialer)).Msg("link up")
+	l.start(k)
+}
+
+// start runs the reader and the writer of a link. For a link that has ended
+// already they only exchange close messages.
+func (l *links) start(k *link) {
+	l.running.Go(func() { k.read(l.inboxes) })
+	l.running.Go(func() { k.write(l.Settings.WriteTimeout.Duration, l.meters) })
+}
+
+// drop ends a link and tells the members duty why.
+func (l *links) drop(k *link, reason error) {
+	delete(l.byNode, k.peer.Node)
+	k.end(reason)
+	down := port.LinkEvent{Hello: k.peer}
+	switch {
+	case errors.Is(reason, errSilent):
+		down.Silent = true
+		l.meters.silent.Inc(1)
+	case errors.Is(reason, errClosed), errors.Is(reason, errReplaced), errors.Is(reason, errNotNeeded):
+	default:
+		down.Lost = true
+	}
+	if errors.Is(reason, errSlow) {
+		l.meters.slow.Inc(1)
+	}
+	l.event(down)
+	l.Logger.Info().Str("peer", string(k.peer.Node)).Str("reason", reason.Error()).Msg("link down")
+}
+
+// maxUnsent bounds the events kept for a members inbox without room. With 24
+// links it covers every link going down and up twice.
+const maxUnsent = 96
+
+// event tells the members duty about a link. Events must not be lost as
+// messages may, since no heartbeat repeats them.
+func (l *links) event(e port.LinkEvent) {
+	if len(l.unsent) < maxUnsent {
+		l.unsent = append(l.unsent, port.MembersIn{From: e.Hello.Node, Event: &e})
+	}
+	l.sendUnsent()
+}
+
+func (l *links) sendUnsent() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel() // the links duty never waits for another duty
+	for len(l.unsent) > 0 && l.Members.Send(ctx, l.unsent[0]) == nil {
+		l.unsent = l.unsent[1:]
+	}
+}
+
+// stop sends what is still queued, ends all links and waits for their duties.
+func (l *links) stop() {
+	for l.Push.Len() > 0 {
+		l.push(<-l.Push.C())
+	}
+	for _, k := range l.byNode {
+		k.end(errStopping)
+	}
+	l.running.Wait()
+	for l.Events.Len() > 0 {
+		e := <-l.Events.C()
+		if e.dialled != nil && e.dialled.conn != nil {
+			closeNow(e.dialled.conn.conn)
+		}
+		if e.accepted != nil && e.accepted.conn != nil {
+			closeNow(e.accepted.conn.conn)
+		}
+	}
+}
--- /dev/null
+++ b/plugins/linkoverlay/plan.go
@@ -0,0 +1,259 @@
+package linkoverlay
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"teaselring/decision/overlay"
+	"teaselring/mesh"
+	"teaselring/port"
+	"teaselring/wire"
+)
+
+// Limits of dialling.
+const (
+	// unneededFor is how long a link to a node that is no target is kept. A
+	// view in motion would otherwise open and close links all the time.
+	unneededFor = 10 * time.Second
+	// suspectAfterFailures dials in vain report a peer as silent.
+	suspectAfterFailures = 2
+	// avoidAfterFailures dials in vain put another peer in its place.
+	avoidAfterFailures = 3
+	avoidFor           = 30 * time.Second
+	// rejoinEvery is the mean time between dials of addresses out of touch.
+	rejoinEvery  = 10 * time.Second
+	maxHintsHeld = 64
+)
+
+var backoff = overlay.Backoff{First: 500 * time.Millisecond, Max: 10 * time.Second}
+
+// plan is whom the links duty dials next.
+type plan struct {
+	view    *mesh.View // that targets were computed from
+	targets []overlay.Peer
+	avoid   map[mesh.NodeID]bool
+	stale   bool // avoid changed since
+	attempt map[mesh.NodeID]*attempt
+	seed    attempt
+	hints   []string
+	rejoin  time.Time
+}
+
+// attempt is the state of dialling one peer, or any seed.
+type attempt struct {
+	incarnation mesh.Incarnation
+	failures    int
+	next        time.Time
+	inFlight    bool
+	avoidUntil  time.Time
+}
+
+func newPlan() plan {
+	return plan{avoid: map[mesh.NodeID]bool{}, attempt: map[mesh.NodeID]*attempt{}}
+}
+
+// planDials sends the dial requests that are due and ends links that are not
+// needed any more.
+func (l *links) planDials(now time.Time) {
+	l.retarget(now)
+	for _, t := range l.plan.targets {
+		l.dialTarget(t, now)
+	}
+	if len(l.byNode) == 0 {
+		l.dialSeed(now)
+	} else {
+		l.dialRejoin(now)
+	}
+	l.endUnneeded(now)
+}
+
+// retarget recomputes the targets after a change of the view or of the peers
+// to avoid.
+func (l *links) retarget(now time.Time) {
+	p := &l.plan
+	for node, a := range p.attempt {
+		avoid := now.Before(a.avoidUntil)
+		if avoid != p.avoid[node] {
+			p.stale = true
+			if avoid {
+				p.avoid[node] = true
+			} else {
+				delete(p.avoid, node)
+				a.failures = 0
+			}
+		}
+	}
+	view := l.View.Load()
+	if view == p.view && !p.stale {
+		return
+	}
+	p.view, p.stale = view, false
+	p.targets = overlay.Targets(l.Identity, dialable(view), p.avoid)
+	current := map[mesh.NodeID]bool{}
+	for _, t := range p.targets {
+		current[t.Node] = true
+	}
+	for node, a := range p.attempt {
+		if !current[node] && !a.inFlight && !p.avoid[node] {
+			delete(p.attempt, node)
+		}
+	}
+}
+
+// dialable returns the members that live as far as known. Suspected ones are
+// kept: a dial is the quickest way to learn more about them.
+func dialable(view *mesh.View) []overlay.Peer {
+	peers := make([]overlay.Peer, 0, len(view.Members))
+	for i := range view.Members {
+		if m := &view.Members[i]; m.State <= mesh.NodeSuspect && m.Node != view.Self {
+			peers = append(peers, overlay.Peer{Node: m.Node, Zone: m.Zone, Region: m.Region, Address: m.PeerAddress})
+		}
+	}
+	return peers
+}
+
+func (l *links) dialTarget(t overlay.Peer, now time.Time) {
+	if l.byNode[t.Node] != nil {
+		return
+	}
+	a := l.plan.attempt[t.Node]
+	if a == nil {
+		a = &attempt{next: now.Add(backoff.Delay(0, rand.Float64()))}
+		l.plan.attempt[t.Node] = a
+	}
+	if a.inFlight || now.Before(a.next) {
+		return
+	}
+	if m := l.plan.view.Member(t.Node); m != nil {
+		a.incarnation = m.Incarnation
+	}
+	a.inFlight = l.request(dialRequest{address: t.Address, node: t.Node})
+}
+
+// dialSeed looks for a way into the mesh as long as there is no link.
+func (l *links) dialSeed(now time.Time) {
+	a := &l.plan.seed
+	if a.next.IsZero() {
+		a.next = now.Add(backoff.Delay(0, rand.Float64()))
+	}
+	if a.inFlight || now.Before(a.next) {
+		return
+	}
+	candidates := append(l.seeds(), l.plan.hints...)
+	if address := overlay.Rejoin(candidates, nil, l.ownAddress(), rand.Float64()); address != "" {
+		a.inFlight = l.request(dialRequest{address: address})
+	}
+}
+
+// dialRejoin tries an address that is not among the live members.
+func (l *links) dialRejoin(now time.Time) {
+	p := &l.plan
+	if p.rejoin.IsZero() {
+		p.rejoin = now.Add(time.Duration(rand.Float64() * float64(rejoinEvery)))
+	}
+	if now.Before(p.rejoin) {
+		return
+	}
+	p.rejoin = now.Add(rejoinEvery/2 + time.Duration(rand.Float64()*float64(rejoinEvery)))
+	live := l.ownAddress()
+	var dead []string
+	for i := range p.view.Members {
+		switch m := &p.view.Members[i]; m.State {
+		case mesh.NodeDead:
+			dead = append(dead, m.PeerAddress)
+		case mesh.NodeAlive, mesh.NodeSuspect:
+			live[m.PeerAddress] = true
+		}
+	}
+	if address := overlay.Rejoin(l.seeds(), dead, live, rand.Float64()); address != "" {
+		l.request(dialRequest{address: address, rejoin: true})
+	}
+}
+
+func (l *links) ownAddress() map[string]bool {
+	return map[string]bool{l.Hello.Load().PeerAddress: true}
+}
+
+func (l *links) seeds() []string {
+	if s := l.Seeds.Load(); s != nil {
+		return append([]string(nil), s.Addresses...)
+	}
+	return nil
+}
+
+func (l *links) request(r dialRequest) bool {
+	return l.Dials.Send(context.Background(), r) == nil
+}
+
+// dialled takes the outcome of a dial request.
+func (l *links) dialled(r *dialResult, now time.Time) {
+	var a *attempt // nil for a rejoin, which is not repeated
+	switch {
+	case r.request.node != "":
+		a = l.plan.attempt[r.request.node]
+	case !r.request.rejoin:
+		a = &l.plan.seed
+	}
+	if a != nil {
+		a.inFlight = false
+	}
+	if r.conn != nil {
+		l.add(r.conn, now)
+		if a != nil && (r.request.node == "" || r.conn.peer.Node == r.request.node) {
+			a.failures = 0
+			a.next = now.Add(backoff.Delay(0, rand.Float64()))
+			return
+		}
+	} else {
+		l.meters.dialFailures.Inc(1)
+		l.plan.hint(r.hints)
+		l.Logger.Debug().Str("address", r.request.address).Err(r.err).Msg("dial failed")
+	}
+	if a != nil {
+		l.dialFailed(a, r, now)
+	}
+}
+
+// hint keeps addresses that full peers named, the newest ones.
+func (p *plan) hint(addresses []string) {
+	p.hints = append(p.hints, addresses...)
+	if extra := len(p.hints) - maxHintsHeld; extra > 0 {
+		p.hints = p.hints[extra:]
+	}
+}
+
+func (l *links) dialFailed(a *attempt, r *dialResult, now time.Time) {
+	a.failures++
+	a.next = now.Add(backoff.Delay(a.failures, rand.Float64()))
+	node := r.request.node
+	if node == "" {
+		return
+	}
+	if a.failures >= avoidAfterFailures {
+		a.avoidUntil = now.Add(avoidFor)
+	}
+	gone := r.conn != nil || unreachable(r.err) // another node, or none, is at the address
+	if a.failures == suspectAfterFailures && gone {
+		l.event(port.LinkEvent{Silent: true, Hello: wire.Hello{Node: node, Incarnation: a.incarnation}})
+	}
+}
+
+// endUnneeded ends links that this node dialled to peers that are not among
+// its targets any more. The peer dials anew if it needs the link.
+func (l *links) endUnneeded(now time.Time) {
+	needed := map[mesh.NodeID]bool{}
+	for _, t := range l.plan.targets {
+		needed[t.Node] = true
+	}
+	for node, k := range l.byNode {
+		switch {
+		case needed[node] || k.dialer != l.Identity.Node:
+			k.unneeded = time.Time{}
+		case k.unneeded.IsZero():
+			k.unneeded = now
+		case now.Sub(k.unneeded) >= unneededFor:
+			l.drop(k, errNotNeeded)
+		}
+	}
+}
--- /dev/null
+++ b/plugins/membershipview/setup.go
@@ -0,0 +1,125 @@
+// Package membershipview is the plug-in membership.view: the node's view of all
+// nodes and the upstreams beside them.
+package membershipview
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+
+	"teaselring/decision/membership"
+	"teaselring/kernel"
+	"teaselring/mesh"
+	"teaselring/port"
+)
+
+// Settings of the plug-in.
+type Settings struct {
+	Seeds        []netip.AddrPort `toml:"seeds"`         // default none; peer addresses of other nodes
+	JoinWait     kernel.Duration  `toml:"join_wait"`     // default 2s; time at start to hear of the node's last incarnation
+	SuspectAfter kernel.Duration  `toml:"suspect_after"` // default 1500ms
+	DeadAfter    kernel.Duration  `toml:"dead_after"`    // default 2500ms
+	TombstoneFor kernel.Duration  `toml:"tombstone_for"` // default 10m
+	MaxMembers   int              `toml:"max_members"`   // default 5000
+	ScanJitter   kernel.Duration  `toml:"scan_jitter"`   // default 10s; upper bound of the wait before the platform is read
+	ScanLimit    int              `toml:"scan_limit"`    // default 64 rows
+}
+
+func defaults() *Settings {
+	c := membership.DefaultConfig()
+	return &Settings{
+		JoinWait:     kernel.Span(2 * time.Second),
+		SuspectAfter: kernel.Span(c.SuspectAfter),
+		DeadAfter:    kernel.Span(c.DeadAfter),
+		TombstoneFor: kernel.Span(c.TombstoneFor),
+		MaxMembers:   c.MaxMembers,
+		ScanJitter:   kernel.Span(10 * time.Second),
+		ScanLimit:    64,
+	}
+}
+
+// Validate checks the ranges.
+func (s *Settings) Validate() error {
+	for _, err := range []error{
+		kernel.SpanInRange("join_wait", s.JoinWait, 0, time.Minute),
+		kernel.SpanInRange("suspect_after", s.SuspectAfter, 100*time.Millisecond, time.Minute),
+		kernel.SpanInRange("dead_after", s.DeadAfter, s.SuspectAfter.Duration, 2*time.Minute),
+		kernel.SpanInRange("tombstone_for", s.TombstoneFor, time.Minute, 24*time.Hour),
+		kernel.InRange("max_members", s.MaxMembers, 2, 5000),
+		kernel.SpanInRange("scan_jitter", s.ScanJitter, 0, 10*time.Minute),
+		kernel.InRange("scan_limit", s.ScanLimit, 1, 1000),
+	} {
+		if err != nil {
+			return err
+		}
+	}
+	if len(s.Seeds) > 256 {
+		return &kernel.FieldError{Key: "seeds", Value: len(s.Seeds), Allowed: "at most 256 addresses"}
+	}
+	return nil
+}
+
+func (s *Settings) config() membership.Config {
+	c := membership.DefaultConfig()
+	c.SuspectAfter, c.DeadAfter = s.SuspectAfter.Duration, s.DeadAfter.Duration
+	c.TombstoneFor, c.MaxMembers = s.TombstoneFor.Duration, s.MaxMembers
+	return c
+}
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name:     "membership.view",
+		Doc:      "Keeps the view of all nodes and of the upstreams beside them.",
+		Settings: func() kernel.Validator { return defaults() },
+		Module:   module,
+	})
+}
+
+func module(v kernel.Validator) fx.Option {
+	return fx.Module("membership.view",
+		fx.Provide(
+			func() *Settings { return v.(*Settings) },
+			func() *port.ViewCell { return &port.ViewCell{} },
+			func() *port.SeedsCell { return &port.SeedsCell{} },
+			func(r *kernel.Ring[port.MembersIn]) port.MembersInbox { return port.MembersInbox{Ring: r} },
+		),
+		kernel.ProvideRing[port.MembersIn]("members.updates", 1024, kernel.Refuse),
+		kernel.ProvideRing[port.Local]("members.local", 4, kernel.ReplaceOldest),
+		kernel.ProvideRing[kernel.Ask[port.Leaving, struct{}]]("members.leaving", 4, kernel.Refuse),
+		kernel.ProvideDuty(func(p parts) kernel.Duty { return newMembers(p).duty() }),
+		kernel.ProvideDuty(func(p seedParts) kernel.Duty { return newSeeds(p).duty() }),
+	)
+}
+
+// parts is what the members duty is built from.
+type parts struct {
+	fx.In
+	Settings *Settings
+	Identity mesh.Identity
+	Address  *port.PeerAddressCell
+	View     *port.ViewCell
+	Seeds    *port.SeedsCell
+	Snapshot *port.SnapshotCell `optional:"true"`
+
+	Inbox   port.MembersInbox
+	Local   *port.LocalRing
+	Leaving *port.LeavingRing
+	Push    *port.PushRing
+
+	Logger  *log.Logger
+	Metrics metrics.Registry
+}
+
+// seedParts is what the seeds duty is built from.
+type seedParts struct {
+	fx.In
+	Settings *Settings
+	Identity mesh.Identity
+	View     *port.ViewCell
+	Seeds    *port.SeedsCell
+	Table    port.Table `optional:"true"`
+	Logger   *log.Logger
+}
--- /dev/null
+++ b/plugins/upstreamlocal/setup.go
@@ -0,0 +1,73 @@
+// Package upstreamlocal is the plug-in upstream.local: the upstream beside the
+// node announces itself here on a loopback listener.
+package upstreamlocal
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+
+	"teaselring/kernel"
+	"teaselring/port"
+)
+
+// Settings of the plug-in.
+type Settings struct {
+	Listen    netip.AddrPort  `toml:"listen"`     // default 127.0.0.1:7403; a loopback address, port 0: chosen by the system
+	GoneAfter kernel.Duration `toml:"gone_after"` // default 3s without an announcement
+}
+
+func defaults() *Settings {
+	return &Settings{
+		Listen:    netip.MustParseAddrPort("127.0.0.1:7403"),
+		GoneAfter: kernel.Span(3 * time.Second),
+	}
+}
+
+// Validate checks the address and the range.
+func (s *Settings) Validate() error {
+	if !s.Listen.Addr().IsLoopback() {
+		return &kernel.FieldError{Key: "listen", Value: s.Listen, Allowed: "a loopback IP:port such as 127.0.0.1:7403"}
+	}
+	return kernel.SpanInRange("gone_after", s.GoneAfter, 100*time.Millisecond, time.Minute)
+}
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name:     "upstream.local",
+		Doc:      "Follows the state of the upstream beside the node.",
+		Settings: func() kernel.Validator { return defaults() },
+		Module:   module,
+	})
+}
+
+func module(v kernel.Validator) fx.Option {
+	return fx.Module("upstream.local",
+		fx.Provide(
+			func() *Settings { return v.(*Settings) },
+			func() *port.LocalCell { return &port.LocalCell{} },
+			func() *port.AnnounceAddressCell { return &port.AnnounceAddressCell{} },
+			newListener,
+		),
+		kernel.ProvideRing[announcement]("announce.requests", 16, kernel.Refuse),
+		kernel.ProvideRing[kernel.Ask[port.Drain, struct{}]]("announce.drain", 4, kernel.Refuse),
+		kernel.ProvideDuty(func(p parts) kernel.Duty { return newAnnounce(p).duty() }),
+		kernel.ProvideDuty((*listener).duty),
+		fx.Invoke(func(lc fx.Lifecycle, l *listener) { lc.Append(fx.StartHook(l.open)) }),
+	)
+}
+
+// parts is what the announce duty is built from.
+type parts struct {
+	fx.In
+	Settings *Settings
+	Cell     *port.LocalCell
+	Out      *port.LocalRing
+	Requests *kernel.Ring[announcement]
+	Drain    *port.DrainRing
+	Logger   *log.Logger
+	Metrics  metrics.Registry
+}
--- a/port/members.go
+++ b/port/members.go
@@ -39,7 +39,10 @@
 
 // Seeds are peer addresses (IP:port) to dial when the view is empty or out of
 // touch with a part of the mesh.
-type Seeds struct{ Addresses []string }
+type Seeds struct {
+	Addresses []string
+	Final     bool // the platform has been read, or there is none
+}
 
 // SeedsCell holds the seeds of the settings and the platform. It is stored by
 // the seeds duty and nil before its first look.
--- /dev/null
+++ b/test/links/links_suite_test.go
@@ -0,0 +1,15 @@
+// Package links tests link.overlay and membership.view together: nodes in one
+// process, joined by TLS connections on loopback that can be disturbed.
+package links
+
+import (
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+)
+
+func TestLinks(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "links")
+}
