--- a/port/members.go
+++ b/port/members.go
@@ -40,3 +40,21 @@
 // PeerAddressCell holds the address on which other nodes reach this one; nil
 // until the peers' edge has bound it. Its owner is the peers' edge.
 type PeerAddressCell = kernel.Cell[netip.AddrPort]
+
+// Seeds are peer addresses (IP:port) to dial when the view is empty or out of
+// touch with a part of the mesh.
+type Seeds struct {
+	Addresses []string
+	Final     bool // the platform has been read, or there is none
+}
+
+// SeedsCell holds the seeds of the settings and the platform. It is stored by
+// the seeds duty and nil before its first look.
+type SeedsCell = kernel.Cell[Seeds]
+
+// AnnounceAddressCell holds the address at which the upstream beside the node
+// announces itself. It is nil until the listener is open.
+type AnnounceAddressCell = kernel.Cell[AnnounceAddress]
+
+// AnnounceAddress is a loopback IP:port.
+type AnnounceAddress struct{ netip.AddrPort }
