--- a/plugins/edgeoperators/handlers.go
+++ b/plugins/edgeoperators/handlers.go
@@ -10,6 +10,7 @@
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
 
+	"teaselring/operator"
 	"teaselring/port"
 	"teaselring/result"
 )
@@ -94,13 +95,18 @@
 
 // setLogLevel changes the level of the log lines at run time.
 func (o *operators) setLogLevel(c *gin.Context) {
-	level := log.ParseLevel(c.Query("level"))
+	var request operator.LogLevelRequest
+	if err := c.ShouldBindJSON(&request); err != nil {
+		abort(c, result.BadRequest.Errorf("body: %v", err))
+		return
+	}
+	level := log.ParseLevel(request.Level)
 	switch level {
 	case log.DebugLevel, log.InfoLevel, log.WarnLevel, log.ErrorLevel:
 		o.Logger.SetLevel(level)
-		c.JSON(http.StatusOK, gin.H{"level": level.String()})
+		c.JSON(http.StatusOK, struct{}{})
 	default:
-		abort(c, result.BadRequest.Errorf("query parameter level = %q; allowed is debug, info, warn or error", c.Query("level")))
+		abort(c, result.BadRequest.Errorf("level = %q; allowed is debug, info, warn or error", request.Level))
 	}
 }
 
--- a/plugins/operatorsapi/moves.go
+++ b/plugins/operatorsapi/moves.go
@@ -2,30 +2,22 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/gin-gonic/gin"
 
 	"teaselring/kernel"
 	"teaselring/mesh"
+	"teaselring/operator"
 	"teaselring/port"
 	"teaselring/result"
 )
 
-// moveRequest is the body of POST /v1/moves.
-type moveRequest struct {
-	ID      mesh.MoveID          `json:"id"`
-	Service mesh.ServiceID       `json:"service"`
-	Old     mesh.UpstreamVersion `json:"old"`
-	New     mesh.UpstreamVersion `json:"new"`
-	Target  time.Time            `json:"target"`
-	Routes  []mesh.RouteID       `json:"routes"`
-}
-
 func (a *api) startMove(c *gin.Context) {
-	var body moveRequest
+	var body operator.StartMoveRequest
 	if err := c.ShouldBindJSON(&body); err != nil {
 		a.refused(c, "move", "", result.BadRequest.Errorf("body: %v", err), false)
 		return
@@ -55,7 +47,12 @@
 	ctx, cancel := context.WithTimeout(c.Request.Context(), requestTimeout)
 	defer cancel()
 	id := mesh.MoveID(c.Param("id"))
-	move, err := kernel.Do(ctx, a.TakeBacks, port.TakeBack{Move: id, By: port.OperatorName(c), Why: c.Query("why")})
+	var body operator.TakeBackRequest
+	if err := c.ShouldBindJSON(&body); err != nil && !errors.Is(err, io.EOF) {
+		fail(c, result.BadRequest.Errorf("body: %v", err))
+		return
+	}
+	move, err := kernel.Do(ctx, a.TakeBacks, port.TakeBack{Move: id, By: port.OperatorName(c), Why: body.Why})
 	if err != nil {
 		a.refused(c, "take back", string(id), err, false)
 		return
@@ -70,7 +67,9 @@
 	return a.Moves.Load().Moves
 }
 
-func (a *api) listMoves(c *gin.Context) { c.JSON(http.StatusOK, gin.H{"moves": a.knownMoves()}) }
+func (a *api) listMoves(c *gin.Context) {
+	c.JSON(http.StatusOK, operator.MovesResponse{Moves: a.knownMoves()})
+}
 
 func (a *api) move(c *gin.Context) {
 	for _, m := range a.knownMoves() {
@@ -82,10 +81,11 @@
 	fail(c, result.MoveNotFound.Errorf("move %q is not known to this node", c.Param("id")))
 }
 
-// auditPageSize is the number of entries in one answer.
-const auditPageSize = 200
+// maxAuditPage is the greatest number of entries in one answer, and the default.
+const maxAuditPage = 200
 
-// audit reads one stream of the audit trail. Query parameters: stream, after.
+// audit reads one stream of the audit trail. Query parameters: stream,
+// after, limit.
 func (a *api) audit(c *gin.Context) {
 	if a.Audit == nil {
 		fail(c, result.BadRequest.Errorf("this node has no plug-in for the audit trail"))
@@ -96,9 +96,14 @@
 		fail(c, result.BadRequest.Errorf("query parameter after = %q; allowed is a sequence number", c.Query("after")))
 		return
 	}
+	limit, err := strconv.Atoi(c.DefaultQuery("limit", strconv.Itoa(maxAuditPage)))
+	if err != nil || limit < 1 {
+		fail(c, result.BadRequest.Errorf("query parameter limit = %q; allowed is a positive number", c.Query("limit")))
+		return
+	}
 	ctx, cancel := context.WithTimeout(c.Request.Context(), requestTimeout)
 	defer cancel()
-	page, err := a.Audit.Read(ctx, c.DefaultQuery("stream", "config"), after, auditPageSize)
+	page, err := a.Audit.Read(ctx, c.DefaultQuery("stream", port.ConfigStream), after, min(limit, maxAuditPage))
 	if err != nil {
 		fail(c, err)
 		return
--- a/plugins/operatorsapi/records.go
+++ b/plugins/operatorsapi/records.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -13,6 +12,7 @@
 	"teaselring/decision/config"
 	"teaselring/kernel"
 	"teaselring/mesh"
+	"teaselring/operator"
 	"teaselring/port"
 	"teaselring/result"
 )
@@ -49,7 +49,7 @@
 		a.refused(c, "apply", publication, err, dryRun)
 		return
 	}
-	c.JSON(http.StatusOK, gin.H{"version": published.Version, "merged": published.Merged})
+	c.JSON(http.StatusOK, operator.ApplyResponse{Version: published.Version, Merged: published.Merged})
 }
 
 // refused answers with the refusal and puts it in the audit trail.
@@ -74,11 +74,11 @@
 		return request, err
 	}
 	for _, name := range c.QueryArray("remove") {
-		kind, id, ok := strings.Cut(name, "/")
-		if !ok {
-			return request, result.BadRequest.Errorf("query parameter remove = %q; allowed is kind/id", name)
+		key, err := operator.ParseRecordKey(name)
+		if err != nil {
+			return request, err
 		}
-		request.Remove = append(request.Remove, mesh.RecordKey{Kind: mesh.Kind(kind), ID: id})
+		request.Remove = append(request.Remove, key)
 	}
 	request.Base, err = versionParameter(c, "base")
 	return request, err
@@ -101,8 +101,8 @@
 		fail(c, err)
 		return
 	}
-	c.Header("Teasel-Config-Version", strconv.FormatUint(uint64(snapshot.Version), 10))
-	c.Data(http.StatusOK, "application/toml", text)
+	c.Header(operator.HeaderVersion, strconv.FormatUint(uint64(snapshot.Version), 10))
+	c.Data(http.StatusOK, operator.ContentTOML, text)
 }
 
 // diff lists the records that differ between two versions.
@@ -118,10 +118,7 @@
 			return
 		}
 	}
-	c.JSON(http.StatusOK, gin.H{
-		"from": snapshots[0].Version, "to": snapshots[1].Version,
-		"changes": config.Changes(snapshots[0].Records, snapshots[1].Records),
-	})
+	c.JSON(http.StatusOK, diffOf(snapshots[0], snapshots[1]))
 }
 
 // snapshot returns a version: from memory when it is in force, else from the
--- a/plugins/operatorsapi/status.go
+++ b/plugins/operatorsapi/status.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -11,6 +13,7 @@
 
 	"teaselring/kernel"
 	"teaselring/mesh"
+	"teaselring/operator"
 	"teaselring/port"
 	"teaselring/result"
 )
@@ -27,68 +30,79 @@
 	statusTimeout = 2 * time.Second
 )
 
-// nodeStatus is the state of one node.
-type nodeStatus struct {
-	Node     mesh.NodeID   `json:"node"`
-	Zone     mesh.Zone     `json:"zone"`
-	State    string        `json:"state"`
-	Endpoint mesh.Endpoint `json:"endpoint"`
-	port.ConfigStatus
-	Error string `json:"error,omitempty"` // why the node did not answer
-}
-
 // status asks every known node, so that no node has to spread its state.
 func (a *api) status(c *gin.Context) {
-	view := a.View.Load()
-	if view == nil {
-		c.JSON(http.StatusOK, gin.H{"nodes": []nodeStatus{a.ownStatus()}})
-		return
+	own := a.ownStatus()
+	answer := operator.StatusResponse{Node: own.Node, InForce: own.InForce, Nodes: []operator.NodeStatus{own}}
+	if view := a.View.Load(); view != nil {
+		answer.Nodes = a.statusOfAll(c.Request.Context(), view)
 	}
-	nodes := make([]nodeStatus, len(view.Members))
+	c.JSON(http.StatusOK, answer)
+}
+
+func (a *api) statusOfAll(ctx context.Context, view *mesh.View) []operator.NodeStatus {
+	nodes := make([]operator.NodeStatus, len(view.Members))
 	var asking errgroup.Group
 	asking.SetLimit(statusFanOut)
 	for i := range view.Members {
 		asking.Go(func() error {
-			nodes[i] = a.statusOf(c.Request.Context(), &view.Members[i])
+			nodes[i] = a.statusOf(ctx, &view.Members[i])
 			return nil
 		})
 	}
 	_ = asking.Wait() // failures are part of each node's status
-	c.JSON(http.StatusOK, gin.H{"nodes": nodes})
+	return nodes
 }
 
-func (a *api) ownStatus() nodeStatus {
-	s := nodeStatus{Node: a.Identity.Node, Zone: a.Identity.Zone, State: "alive"}
+func (a *api) ownStatus() operator.NodeStatus {
+	s := operator.NodeStatus{Node: a.Identity.Node, Zone: a.Identity.Zone, Region: a.Identity.Region, State: "alive"}
 	if status := a.Status.Load(); status != nil {
-		s.ConfigStatus = *status
+		s.InForce, s.Refused, s.Code, s.Reason = status.InForce, status.Refused, status.Code, status.Reason
+	}
+	if view := a.View.Load(); view != nil {
+		if i := memberIndex(view, a.Identity.Node); i >= 0 {
+			s.Incarnation = view.Members[i].Incarnation
+		}
 	}
 	if a.Local != nil {
 		if local := a.Local.Load(); local != nil {
-			s.Endpoint = local.Endpoint
+			s.Upstream = upstreamStatus(local.Endpoint)
 		}
 	}
 	return s
 }
 
-func (a *api) statusOf(ctx context.Context, m *mesh.Member) nodeStatus {
+func upstreamStatus(e mesh.Endpoint) *operator.UpstreamStatus {
+	if e.State == mesh.EndpointNone {
+		return nil
+	}
+	return &operator.UpstreamStatus{Service: e.Service, Version: e.Version, Slots: e.Slots, State: endpointName(e.State)}
+}
+
+// statusOf asks a node; when it does not answer, its status is what membership
+// knows, and the reason says so.
+func (a *api) statusOf(ctx context.Context, m *mesh.Member) operator.NodeStatus {
 	if m.Node == a.Identity.Node {
 		return a.ownStatus()
 	}
-	s := nodeStatus{Node: m.Node, Zone: m.Zone, State: stateName(m.State), Endpoint: m.Endpoint}
+	known := operator.NodeStatus{
+		Node: m.Node, Incarnation: m.Incarnation, Zone: m.Zone, Region: m.Region,
+		State: stateName(m.State), InForce: m.InForce, Upstream: upstreamStatus(m.Endpoint),
+	}
 	if m.State != mesh.NodeAlive && m.State != mesh.NodeSuspect {
-		return s
+		return known
 	}
 	answered, err := a.askStatus(ctx, m.PeerAddress)
 	if err != nil {
-		s.Error = err.Error()
-		return s
+		known.Code, known.Reason = result.ConnectionLost.Number, fmt.Sprintf("the node did not answer: %v", err)
+		return known
 	}
-	answered.State = s.State
+	answered.State = known.State
 	return answered
 }
 
-func (a *api) askStatus(ctx context.Context, address string) (nodeStatus, error) {
-	var s nodeStatus
+func (a *api) askStatus(ctx context.Context, address string) (operator.NodeStatus, error) {
+	var s operator.NodeStatus
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "https://"+address+statusPath, nil)
@@ -108,6 +122,24 @@
 	_ = json.NewEncoder(w).Encode(a.ownStatus())
 }
 
+func memberIndex(view *mesh.View, node mesh.NodeID) int {
+	return slices.IndexFunc(view.Members, func(m mesh.Member) bool { return m.Node == node })
+}
+
+func endpointName(s mesh.EndpointState) string {
+	switch s {
+	case mesh.EndpointStarting:
+		return "starting"
+	case mesh.EndpointReady:
+		return "ready"
+	case mesh.EndpointDraining:
+		return "draining"
+	case mesh.EndpointGone:
+		return "gone"
+	}
+	return "unknown"
+}
+
 func stateName(s mesh.NodeState) string {
 	switch s {
 	case mesh.NodeAlive:
@@ -125,9 +157,7 @@
 // drain takes the upstream beside a node out of service. It asks that node,
 // which may be another one.
 func (a *api) drain(c *gin.Context) {
-	var request struct {
-		Node mesh.NodeID `json:"node"`
-	}
+	var request operator.DrainRequest
 	if err := c.ShouldBindJSON(&request); err != nil {
 		fail(c, result.BadRequest.Errorf("body: %v", err))
 		return
@@ -138,16 +168,15 @@
 		fail(c, err)
 		return
 	}
-	c.JSON(http.StatusOK, gin.H{"node": request.Node, "state": "draining"})
+	c.JSON(http.StatusOK, struct{}{})
 }
 
 func (a *api) drainNode(ctx context.Context, node mesh.NodeID, by string) error {
 	if node == a.Identity.Node {
 		return a.drainLocal(ctx, by)
 	}
-	view := a.View.Load()
-	for i := 0; view != nil && i < len(view.Members); i++ {
-		if view.Members[i].Node == node {
+	if view := a.View.Load(); view != nil {
+		if i := memberIndex(view, node); i >= 0 {
 			return a.drainPeer(ctx, &view.Members[i], by)
 		}
 	}
--- a/port/members.go
+++ b/port/members.go
@@ -37,10 +37,6 @@
 // DrainRing leads from the operators' edge to the announce duty.
 type DrainRing = kernel.Ring[kernel.Ask[Drain, struct{}]]
 
-// PeerAddressCell holds the address on which other nodes reach this one; nil
-// until the peers' edge has bound it. Its owner is the peers' edge.
-type PeerAddressCell = kernel.Cell[netip.AddrPort]
-
 // Seeds are peer addresses (IP:port) to dial when the view is empty or out of
 // touch with a part of the mesh.
 type Seeds struct {
