--- a/plugins/callforward/owner.go
+++ b/plugins/callforward/owner.go
@@ -20,12 +20,12 @@
 
 // owner runs attempts on the upstream beside the node.
 type owner struct {
-	ownerIn
+	in       ownerIn
 	upstream *http.Transport
 }
 
 func newOwner(s *Settings, in ownerIn) *owner {
-	return &owner{ownerIn: in, upstream: &http.Transport{
+	return &owner{in: in, upstream: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
 		MaxIdleConnsPerHost: s.UpstreamConnections,
 		MaxConnsPerHost:     s.UpstreamConnections,
@@ -64,7 +64,7 @@
 // run admits the attempt, claims its key and sends it to the upstream. The
 // slot is released when the answer's body is closed.
 func (o *owner) run(ctx context.Context, a *attempt, r *http.Request) (*http.Response, mesh.Load, error) {
-	admitted, err := kernel.Do(ctx, o.Admit, port.Admit{
+	admitted, err := kernel.Do(ctx, o.in.Admit, port.Admit{
 		Call: a.call, Attempt: a.id, Incarnation: a.target.Incarnation, Version: a.target.Version,
 	})
 	if err != nil {
@@ -110,10 +110,10 @@
 }
 
 func (o *owner) claim(ctx context.Context, c port.Claim) error {
-	if o.Claims == nil {
+	if o.in.Claims == nil {
 		return result.KeyStoreDown.Errorf("the node has no plug-in for once-only calls")
 	}
-	_, err := kernel.Do(ctx, o.Claims, c)
+	_, err := kernel.Do(ctx, o.in.Claims, c)
 	return err
 }
 
@@ -134,7 +134,7 @@
 	if !s.NotRun {
 		cancel() // only hand it over; nobody waits for the record of the status
 	}
-	_, _ = kernel.Do(ctx, o.Settlements, s)
+	_, _ = kernel.Do(ctx, o.in.Settlements, s)
 }
 
 // settlementTimeout bounds the wait for a freed claim. A claim that was not
@@ -185,8 +185,8 @@
 func (o *owner) release(released port.Released) {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	if err := o.Release.Send(ctx, released); err != nil {
-		o.Logger.Error().Str("call", string(released.Attempt)).Err(err).Msg("slot not released")
+	if err := o.in.Release.Send(ctx, released); err != nil {
+		o.in.Logger.Error().Str("call", string(released.Attempt)).Err(err).Msg("slot not released")
 	}
 }
 
@@ -217,7 +217,7 @@
 		port.Refuse(w, result.BadRequest.Errorf("headers %s and %s are required", headerAttempt, headerIncarnation))
 		return
 	}
-	settled, err := kernel.Do(r.Context(), o.Settle, port.Settle{
+	settled, err := kernel.Do(r.Context(), o.in.Settle, port.Settle{
 		Attempt: mesh.AttemptID(id), Incarnation: mesh.Incarnation(incarnation),
 	})
 	if err != nil {
--- a/plugins/operatorsapi/moves.go
+++ b/plugins/operatorsapi/moves.go
@@ -22,13 +22,13 @@
 		a.refused(c, "move", "", result.BadRequest.Errorf("body: %v", err), false)
 		return
 	}
-	if a.Starts == nil {
+	if a.in.Starts == nil {
 		fail(c, result.BadRequest.Errorf("this node has no plug-in for moves"))
 		return
 	}
 	ctx, cancel := context.WithTimeout(c.Request.Context(), requestTimeout)
 	defer cancel()
-	move, err := kernel.Do(ctx, a.Starts, port.StartMove{Move: mesh.Move{
+	move, err := kernel.Do(ctx, a.in.Starts, port.StartMove{Move: mesh.Move{
 		ID: body.ID, Service: body.Service, Old: body.Old, New: body.New, Target: body.Target,
 		Routes: body.Routes, By: port.OperatorName(c),
 	}})
@@ -40,7 +40,7 @@
 }
 
 func (a *api) takeBack(c *gin.Context) {
-	if a.TakeBacks == nil {
+	if a.in.TakeBacks == nil {
 		fail(c, result.BadRequest.Errorf("this node has no plug-in for moves"))
 		return
 	}
@@ -52,7 +52,7 @@
 		fail(c, result.BadRequest.Errorf("body: %v", err))
 		return
 	}
-	move, err := kernel.Do(ctx, a.TakeBacks, port.TakeBack{Move: id, By: port.OperatorName(c), Why: body.Why})
+	move, err := kernel.Do(ctx, a.in.TakeBacks, port.TakeBack{Move: id, By: port.OperatorName(c), Why: body.Why})
 	if err != nil {
 		a.refused(c, "take back", string(id), err, false)
 		return
@@ -61,10 +61,10 @@
 }
 
 func (a *api) knownMoves() []mesh.Move {
-	if a.Moves == nil || a.Moves.Load() == nil {
+	if a.in.Moves == nil || a.in.Moves.Load() == nil {
 		return []mesh.Move{}
 	}
-	return a.Moves.Load().Moves
+	return a.in.Moves.Load().Moves
 }
 
 func (a *api) listMoves(c *gin.Context) {
@@ -87,7 +87,7 @@
 // audit reads one stream of the audit trail. Query parameters: stream,
 // after, limit.
 func (a *api) audit(c *gin.Context) {
-	if a.Audit == nil {
+	if a.in.Audit == nil {
 		fail(c, result.BadRequest.Errorf("this node has no plug-in for the audit trail"))
 		return
 	}
@@ -103,7 +103,7 @@
 	}
 	ctx, cancel := context.WithTimeout(c.Request.Context(), requestTimeout)
 	defer cancel()
-	page, err := a.Audit.Read(ctx, c.DefaultQuery("stream", port.ConfigStream), after, min(limit, maxAuditPage))
+	page, err := a.in.Audit.Read(ctx, c.DefaultQuery("stream", port.ConfigStream), after, min(limit, maxAuditPage))
 	if err != nil {
 		fail(c, err)
 		return
--- a/plugins/operatorsapi/records.go
+++ b/plugins/operatorsapi/records.go
@@ -44,7 +44,7 @@
 	request.Publication, request.DryRun = publication, dryRun
 	ctx, cancel := context.WithTimeout(c.Request.Context(), requestTimeout)
 	defer cancel()
-	published, err := kernel.Do(ctx, a.Publish, request)
+	published, err := kernel.Do(ctx, a.in.Publish, request)
 	if err != nil {
 		a.refused(c, "apply", publication, err, dryRun)
 		return
@@ -54,9 +54,9 @@
 
 // refused answers with the refusal and puts it in the audit trail.
 func (a *api) refused(c *gin.Context, action, subject string, err error, silent bool) {
-	if !silent && a.Entries != nil {
+	if !silent && a.in.Entries != nil {
 		e := result.From(err)
-		_ = a.Entries.Send(c.Request.Context(), port.AuditEntry{
+		_ = a.in.Entries.Send(c.Request.Context(), port.AuditEntry{
 			Time: time.Now(), Who: port.OperatorName(c), Action: action + " refused",
 			Subject: subject, Why: e.Message, Code: e.Code.Number,
 		})
@@ -124,7 +124,7 @@
 // snapshot returns a version: from memory when it is in force, else from the
 // platform. Version 0 is the one in force.
 func (a *api) snapshot(c *gin.Context, version mesh.Version) (*mesh.Snapshot, error) {
-	active := a.Snapshot.Load()
+	active := a.in.Snapshot.Load()
 	if active != nil && (version == 0 || version == active.Version) {
 		return active, nil
 	}
@@ -133,7 +133,7 @@
 	}
 	ctx, cancel := context.WithTimeout(c.Request.Context(), requestTimeout)
 	defer cancel()
-	snapshot, err := kernel.Do(ctx, a.History, port.History{Version: version})
+	snapshot, err := kernel.Do(ctx, a.in.History, port.History{Version: version})
 	return &snapshot, err
 }
 
--- a/plugins/operatorsapi/setup.go
+++ b/plugins/operatorsapi/setup.go
@@ -33,7 +33,7 @@
 }
 
 // api serves the routes.
-type api struct{ apiIn }
+type api struct{ in apiIn }
 
 // apiIn holds what the routes ask. Parts that the program has no plug-in for are nil.
 type apiIn struct {
@@ -54,7 +54,7 @@
 	Entries   *port.AuditRing     `optional:"true"`
 }
 
-func newAPI(in apiIn) *api { return &api{apiIn: in} }
+func newAPI(in apiIn) *api { return &api{in: in} }
 
 func (a *api) routes() []port.OperatorRoute {
 	return []port.OperatorRoute{
--- a/plugins/operatorsapi/status.go
+++ b/plugins/operatorsapi/status.go
@@ -34,7 +34,7 @@
 func (a *api) status(c *gin.Context) {
 	own := a.ownStatus()
 	answer := operator.StatusResponse{Node: own.Node, InForce: own.InForce, Nodes: []operator.NodeStatus{own}}
-	if view := a.View.Load(); view != nil {
+	if view := a.in.View.Load(); view != nil {
 		answer.Nodes = a.statusOfAll(c.Request.Context(), view)
 	}
 	c.JSON(http.StatusOK, answer)
@@ -55,17 +55,17 @@
 }
 
 func (a *api) ownStatus() operator.NodeStatus {
-	s := operator.NodeStatus{Node: a.Identity.Node, Zone: a.Identity.Zone, Region: a.Identity.Region, State: "alive"}
-	if status := a.Status.Load(); status != nil {
+	s := operator.NodeStatus{Node: a.in.Identity.Node, Zone: a.in.Identity.Zone, Region: a.in.Identity.Region, State: "alive"}
+	if status := a.in.Status.Load(); status != nil {
 		s.InForce, s.Refused, s.Code, s.Reason = status.InForce, status.Refused, status.Code, status.Reason
 	}
-	if view := a.View.Load(); view != nil {
-		if i := memberIndex(view, a.Identity.Node); i >= 0 {
+	if view := a.in.View.Load(); view != nil {
+		if i := memberIndex(view, a.in.Identity.Node); i >= 0 {
 			s.Incarnation = view.Members[i].Incarnation
 		}
 	}
-	if a.Local != nil {
-		if local := a.Local.Load(); local != nil {
+	if a.in.Local != nil {
+		if local := a.in.Local.Load(); local != nil {
 			s.Upstream = upstreamStatus(local.Endpoint)
 		}
 	}
@@ -82,7 +82,7 @@
 // statusOf asks a node; when it does not answer, its status is what membership
 // knows, and the reason says so.
 func (a *api) statusOf(ctx context.Context, m *mesh.Member) operator.NodeStatus {
-	if m.Node == a.Identity.Node {
+	if m.Node == a.in.Identity.Node {
 		return a.ownStatus()
 	}
 	known := operator.NodeStatus{
@@ -109,7 +109,7 @@
 	if err != nil {
 		return s, err
 	}
-	answer, err := a.Peers.Do(request)
+	answer, err := a.in.Peers.Do(request)
 	if err != nil {
 		return s, err
 	}
@@ -172,10 +172,10 @@
 }
 
 func (a *api) drainNode(ctx context.Context, node mesh.NodeID, by string) error {
-	if node == a.Identity.Node {
+	if node == a.in.Identity.Node {
 		return a.drainLocal(ctx, by)
 	}
-	if view := a.View.Load(); view != nil {
+	if view := a.in.View.Load(); view != nil {
 		if i := memberIndex(view, node); i >= 0 {
 			return a.drainPeer(ctx, &view.Members[i], by)
 		}
@@ -184,17 +184,17 @@
 }
 
 func (a *api) drainLocal(ctx context.Context, by string) error {
-	if a.Drains == nil {
-		return result.BadRequest.Errorf("node %q has no upstream", a.Identity.Node)
+	if a.in.Drains == nil {
+		return result.BadRequest.Errorf("node %q has no upstream", a.in.Identity.Node)
 	}
-	if _, err := kernel.Do(ctx, a.Drains, port.Drain{By: by}); err != nil {
+	if _, err := kernel.Do(ctx, a.in.Drains, port.Drain{By: by}); err != nil {
 		return err
 	}
-	if a.Entries == nil {
+	if a.in.Entries == nil {
 		return nil
 	}
-	return a.Entries.Send(ctx, port.AuditEntry{
-		Time: time.Now(), Who: by, Action: "drain", Subject: string(a.Identity.Node), To: "draining",
+	return a.in.Entries.Send(ctx, port.AuditEntry{
+		Time: time.Now(), Who: by, Action: "drain", Subject: string(a.in.Identity.Node), To: "draining",
 	})
 }
 
@@ -204,7 +204,7 @@
 		return result.Internal.Errorf("node %s: %v", m.Node, err)
 	}
 	request.Header.Set("X-Operator", by)
-	answer, err := a.Peers.Do(request)
+	answer, err := a.in.Peers.Do(request)
 	if err != nil {
 		return result.ConnectionLost.Errorf("node %s: %v", m.Node, err)
 	}
