--- a/plugins/operatorsapi/status.go
+++ b/plugins/operatorsapi/status.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -60,8 +59,8 @@
 		s.InForce, s.Refused, s.Code, s.Reason = status.InForce, status.Refused, status.Code, status.Reason
 	}
 	if view := a.in.View.Load(); view != nil {
-		if i := memberIndex(view, a.in.Identity.Node); i >= 0 {
-			s.Incarnation = view.Members[i].Incarnation
+		if m := view.Member(a.in.Identity.Node); m != nil {
+			s.Incarnation = m.Incarnation
 		}
 	}
 	if a.in.Local != nil {
@@ -122,10 +121,6 @@
 	_ = json.NewEncoder(w).Encode(a.ownStatus())
 }
 
-func memberIndex(view *mesh.View, node mesh.NodeID) int {
-	return slices.IndexFunc(view.Members, func(m mesh.Member) bool { return m.Node == node })
-}
-
 func endpointName(s mesh.EndpointState) string {
 	switch s {
 	case mesh.EndpointStarting:
@@ -176,8 +171,8 @@
 		return a.drainLocal(ctx, by)
 	}
 	if view := a.in.View.Load(); view != nil {
-		if i := memberIndex(view, node); i >= 0 {
-			return a.drainPeer(ctx, &view.Members[i], by)
+		if m := view.Member(node); m != nil {
+			return a.drainPeer(ctx, m, by)
 		}
 	}
 	return result.BadRequest.Errorf("node %q is not known", node)
