Tighten the start without the platform and the checks on a head

Cause: a node that held a version but had none in force made peers answer without what they remember of it, and a head with the number of the version held but other content passed as a confirmation. Change: the duty offers nothing while it has nothing in force, so that peers answer with an offer; equal numbers with different digests are reported; a peer's read of the head after the node's start counts as the head; the publisher waits while the platform's rate limit refuses its write; the parts of a version are bounded to 16.

--- a/decision/config/parts.go
+++ b/decision/config/parts.go
@@ -9,8 +9,9 @@
 const (
 	// maxPart keeps a message well below the limit of 1 MiB and lets
 	// heartbeats pass between the parts of a large version.
-	maxPart  = 480 << 10 // bytes
-	maxParts = 64
+	maxPart = 480 << 10 // bytes
+	// maxParts covers the largest version and removals: 9 parts and 2.
+	maxParts = 16
 	// removedSize is an upper estimate of an encoded key: an id of 64 bytes, a
 	// kind and the framing.
 	removedSize = 96 // bytes
--- a/decision/config/startup.go
+++ b/decision/config/startup.go
@@ -14,20 +14,32 @@
 	StartReports = 3
 	// SettleTime is how long reports are collected after the first one.
 	SettleTime = time.Second
+	// confirmMargin covers the time that a peer's heartbeat takes to arrive,
+	// which makes its confirmation of the head look newer than it is.
+	confirmMargin = time.Second
 )
 
 // startup collects what is needed to choose the first version of a process.
 type startup struct {
-	headKnown bool
-	head      mesh.Version // of the platform
-	down      bool         // the platform did not answer the first read
+	begun     time.Time
+	headKnown bool // read from the platform after begun, by this node or a peer
+	head      mesh.Version
+	down      bool // the platform did not answer the first read
 
 	reports    map[mesh.NodeID]mesh.Version
 	first      time.Time    // first report
 	remembered mesh.Version // highest version that a peer remembers this node had in force
 }
 
-func newStartup() startup { return startup{reports: map[mesh.NodeID]mesh.Version{}} }
+func newStartup(now time.Time) startup {
+	return startup{begun: now, reports: map[mesh.NodeID]mesh.Version{}}
+}
+
+// knowHead notes a head that was read after the process began. It is at least
+// as high as any version that an earlier life of the node had in force.
+func (u *startup) knowHead(v mesh.Version) {
+	u.headKnown, u.head = true, max(u.head, v)
+}
 
 // PlatformDown notes that the platform did not answer a read of the head.
 func (s *Store) PlatformDown() { s.start.down = true }
--- a/decision/config/store.go
+++ b/decision/config/store.go
@@ -75,9 +75,10 @@
 	whole   bool // the last delta could not be applied
 }
 
-// NewStore returns a store with nothing in force.
-func NewStore() *Store {
-	return &Store{refused: map[mesh.Version]bool{}, start: newStartup()}
+// NewStore returns the store of a process that starts now, with nothing in
+// force.
+func NewStore(now time.Time) *Store {
+	return &Store{refused: map[mesh.Version]bool{}, start: newStartup(now)}
 }
 
 // Active returns the version in force, or nil.
@@ -146,13 +147,15 @@
 // though it was read later, result.StaleObject when the content is not the head's, or the reason why the
 // version is invalid. The version in force stays in each case.
 func (s *Store) TakePlatform(now, read time.Time, head Head, content []byte, peers bool) error {
-	s.start.headKnown, s.start.head = true, max(s.start.head, head.Version)
+	s.start.knowHead(head.Version)
 	newest := versionOf(s.Newest())
 	switch {
 	case head.Version < newest && !read.After(s.takenAt):
 		return nil // a newer version overtook the read
 	case head.Version < newest:
 		return result.StaleVersion.Errorf("the platform's head is version %d, held is %d", head.Version, newest)
+	case head.Version == newest && s.Newest() != nil && head.Digest != s.Newest().Digest:
+		return result.DigestMismatch.Errorf("the platform's version %d is not the version %d held", head.Version, newest)
 	case head.Version == newest:
 		s.confirm(head.Version, read)
 		return nil
@@ -178,7 +181,7 @@
 // NoObject notes that the head is higher than the version held but its object
 // can't be had. Peers may have it.
 func (s *Store) NoObject(head Head, err error) {
-	s.start.headKnown, s.start.head = true, max(s.start.head, head.Version)
+	s.start.knowHead(head.Version)
 	if s.Wants(head.Version) {
 		_ = s.refuseForNow(head.Version, err)
 	}
@@ -237,7 +240,12 @@
 
 // ConfirmedByPeer notes that the platform confirmed a version as its head at
 // the given time, as a peer reports.
-func (s *Store) ConfirmedByPeer(v mesh.Version, at time.Time) { s.confirm(v, at) }
+func (s *Store) ConfirmedByPeer(v mesh.Version, at time.Time) {
+	if at.Sub(s.start.begun) > confirmMargin {
+		s.start.knowHead(v)
+	}
+	s.confirm(v, at)
+}
 
 func (s *Store) confirm(v mesh.Version, at time.Time) {
 	if s.next != nil && v == s.next.Version && at.After(s.nextAt) {
--- a/decision/config/store_test.go
+++ b/decision/config/store_test.go
@@ -19,7 +19,7 @@
 	}
 	inForce := func() mesh.Version { return versionOf(s.Active()) }
 
-	BeforeEach(func() { s = NewStore() })
+	BeforeEach(func() { s = NewStore(start) })
 
 	It("takes higher versions only, so that crossing messages never set it back", func() {
 		take(numbered(5))
@@ -41,6 +41,14 @@
 		Expect(inForce()).To(BeEquivalentTo(5))
 	})
 
+	It("does not confuse two contents of one version number", func() {
+		take(numbered(5))
+		other := build(5, service("shop", 1))
+		err := s.TakePlatform(start, after(time.Second), headOf(other), contentOf(other), false)
+		Expect(result.Of(err)).To(BeIdenticalTo(result.DigestMismatch))
+		Expect(s.Confirmed()).To(Equal(start))
+	})
+
 	// Guards against a bad version that is applied in part or tried for ever.
 	It("never applies a bad version, remembers why and goes on with a newer one", func() {
 		take(numbered(1))
@@ -171,6 +179,15 @@
 			take(numbered(5))
 		})
 
+		It("trusts a peer's read of the head that began after its own start", func() {
+			s.PlatformDown()
+			Expect(s.TakePeer(start, Whole(numbered(4)))).To(Succeed())
+			s.ConfirmedByPeer(4, after(-time.Minute))
+			Expect(s.Advance(after(time.Minute), 5)).To(BeFalse())
+			s.ConfirmedByPeer(4, after(10*time.Second))
+			Expect(s.Advance(after(time.Minute), 5)).To(BeTrue())
+		})
+
 		It("takes the head's version from a peer while the object store lags", func() {
 			s.NoObject(headOf(numbered(5)), result.StaleObject.Err())
 			Expect(s.TakePeer(start, Whole(numbered(4)))).To(Succeed())
--- a/plugins/configsource/platform_test.go
+++ b/plugins/configsource/platform_test.go
@@ -19,6 +19,7 @@
 
 	down        bool
 	loseAnswers int               // commits that take effect and report an unknown outcome
+	limited     int               // commits that the rate limit refuses
 	downAfter   bool              // the platform goes down after the next commit
 	frozen      map[string][]byte // objects as the stale object store shows them
 	beforeWrite func()            // runs before the next commit
@@ -71,6 +72,10 @@
 	if p.down {
 		return result.PlatformDown.Err()
 	}
+	if p.limited > 0 {
+		p.limited--
+		return result.PlatformLimit.Err()
+	}
 	for _, c := range txn.Checks {
 		if p.rows[c.Table+"/"+c.Key].Revision != c.Revision {
 			return result.RowConflict.Err()
--- a/plugins/configsource/publication.go
+++ b/plugins/configsource/publication.go
@@ -47,6 +47,10 @@
 				return port.Published{}, result.Conflict.Errorf("the head changed during each of %d attempts", lost)
 			}
 			p.retries.Inc(1)
+		case code == result.PlatformLimit && !p.unknown: // nothing was written
+			if !p.pause(ctx) {
+				return port.Published{}, err
+			}
 		case code == result.PlatformUnknown || p.unknown && retryable(code):
 			p.unknown = true
 			if !p.pause(ctx) {
--- a/plugins/configsource/source_test.go
+++ b/plugins/configsource/source_test.go
@@ -148,6 +148,11 @@
 		Expect(n.mustPublish(change("p2", 1, service("shop", 7)))).To(BeEquivalentTo(2))
 	})
 
+	It("waits while the platform's rate limit refuses the write", func() {
+		p.set(func() { p.limited = 2 })
+		Expect(n.mustPublish(change("p1", 0, service("shop", 6)))).To(BeEquivalentTo(1))
+	})
+
 	It("returns the first outcome for a repeated publication, however late", func() {
 		n.mustPublish(change("p1", 0, service("shop", 6)))
 		n.mustPublish(change("p2", 0, service("shop", 7)))
--- a/plugins/configstore/config.go
+++ b/plugins/configstore/config.go
@@ -26,6 +26,7 @@
 	peers    peers
 	outgoing outgoing
 	reported config.Refusal // refusal that was logged and audited last
+	rejected config.Head    // head that was logged as contradicting the version held
 	refusals metrics.Counter
 	inForce  metrics.Gauge
 }
@@ -33,7 +34,7 @@
 func newKeeper(in dependencies) *keeper {
 	return &keeper{
 		dependencies: in,
-		store:        config.NewStore(),
+		store:        config.NewStore(time.Now()),
 		peers:        peers{},
 		refusals:     metrics.GetOrRegisterCounter("config.refusals", in.Metrics),
 		inForce:      metrics.GetOrRegisterGauge("config.in_force", in.Metrics),
@@ -76,9 +77,8 @@
 	default:
 		before := k.store.Newest()
 		linked := k.Push != nil && k.peers.linked(now)
-		if err := k.store.TakePlatform(now, report.Read, head, report.Content, linked); err != nil {
-			k.log(k.Logger.Warn(), head.Version).Int("code", result.Of(err).Number).Err(err).Msg("head not taken")
-		}
+		err := k.store.TakePlatform(now, report.Read, head, report.Content, linked)
+		k.noteContradiction(head, err)
 		if newest := k.store.Newest(); newest != before {
 			k.offer(ctx, "", "")
 		}
@@ -86,6 +86,16 @@
 	k.report(ctx)
 }
 
+// noteContradiction logs once that the platform's head is not a successor of
+// the version held, such as after the platform was restored from a backup.
+func (k *keeper) noteContradiction(head config.Head, err error) {
+	if code := result.Of(err); code != result.StaleVersion && code != result.DigestMismatch || head == k.rejected {
+		return
+	}
+	k.rejected = head
+	k.log(k.Logger.Error(), head.Version).Int("code", result.Of(err).Number).Err(err).Msg("head contradicts the version held")
+}
+
 func (k *keeper) held() mesh.Version {
 	if newest := k.store.Newest(); newest != nil {
 		return newest.Version
@@ -127,9 +137,9 @@
 		k.store.Reported(now, from, 0, 0)
 		return
 	}
-	// A lower offer makes the peer answer with its own, which also says what it
-	// remembers of this node.
-	k.offer(ctx, from, "")
+	// An offer of nothing makes the peer answer with its own, which also says
+	// what it remembers of this node.
+	k.send(ctx, from, wire.ConfigOffer{Remembered: k.remembered(from)})
 }
 
 func (k *keeper) takeOffer(ctx context.Context, now time.Time, from mesh.NodeID, m wire.ConfigOffer) {
@@ -141,7 +151,10 @@
 		k.fetch(ctx, now, from, m.Version)
 	case m.Version < held:
 		k.offer(ctx, from, "")
-	case held != 0:
+	case held == 0:
+	case m.Digest != k.store.Newest().Digest:
+		k.log(k.Logger.Error(), held).Str("from", string(from)).Msg("peer holds another content of the version")
+	default:
 		k.send(ctx, from, wire.ConfigAck{Version: held})
 	}
 }
@@ -177,7 +190,8 @@
 // advance puts the next version in force when it may be, and publishes the
 // state of the duty. A version that came from a peer is offered to the others.
 func (k *keeper) advance(ctx context.Context, now time.Time, from mesh.NodeID) {
-	if k.store.Advance(now, k.known(now)) {
+	pending := k.store.Newest() != k.store.Active()
+	if pending && k.store.Advance(now, k.known(now)) {
 		active := k.store.Active()
 		k.Snapshot.Store(active)
 		k.inForce.Update(int64(active.Version))
--- a/plugins/configstore/store_test.go
+++ b/plugins/configstore/store_test.go
@@ -259,6 +259,8 @@
 		n.receive("n2", dataOf(config.Whole(numbered(3))))
 		n.settles()
 		Consistently(n.version, "1200ms").Should(BeZero())
+		n.receive("n3", wire.Heartbeat{InForce: 3})
+		n.sent("n3", "", wire.ConfigOffer{Remembered: 3})
 		n.receive("n3", wire.ConfigOffer{Version: 4, Digest: numbered(4).Digest, Remembered: 4})
 		n.receive("n4", wire.Heartbeat{})
 		n.sent("n3", "", wire.ConfigFetch{Have: 3})
