Choose endpoints by distance, load and recent failures

decision/routing keeps own attempts in flight, averages and penalties for each endpoint of the view. Two random endpoints of the nearest distance class are compared by estimated time; farther classes are compared only when the nearer one is busy. Endpoints that do not answer are avoided at once and retried by a single call.

--- /dev/null
+++ b/decision/routing/choose.go
@@ -0,0 +1,148 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"teaselring/mesh"
+	"teaselring/result"
+)
+
+// Random is a source of random numbers, such as *rand.Rand of math/rand/v2.
+type Random interface{ IntN(n int) int }
+
+// tier is the distance class of an endpoint.
+type tier int
+
+const (
+	sameZone tier = iota
+	sameRegion
+	remote
+	tiers
+)
+
+// Pick chooses an endpoint for an attempt. It does not count the attempt; Begin
+// does. The error carries result.NoEndpoint.
+func (r *Router) Pick(q *Query, splits *mesh.Splits, rnd Random, now time.Time) (mesh.Target, error) {
+	s := r.byName[q.Call.Service]
+	if s == nil {
+		return mesh.Target{}, result.NoEndpoint.Errorf("service %q has no known upstream", q.Call.Service)
+	}
+	first, second := s.inUse, mesh.UpstreamVersion("")
+	if splits != nil {
+		if split, declared := splits.ByService[q.Call.Service]; declared {
+			first, second = s.versions(split, q)
+		}
+	}
+	best := r.choose(s, first, q.Tried, rnd, now)
+	if best == nil && second != "" {
+		best = r.choose(s, second, q.Tried, rnd, now)
+	}
+	if best == nil {
+		return mesh.Target{}, result.NoEndpoint.Errorf(
+			"service %q has no usable upstream of version %q (%d tried)", q.Call.Service, first, len(q.Tried))
+	}
+	return best.target(), nil
+}
+
+// candidates returns the endpoints that may get a new call, by distance.
+func (r *Router) candidates(s *service, v mesh.UpstreamVersion, tried []mesh.NodeID, now time.Time) [tiers][]*endpoint {
+	var byTier [tiers][]*endpoint
+	for _, e := range s.endpoints {
+		usable := e.member.Endpoint.Version == v && e.member.Ready() &&
+			!e.avoided(now) && !slices.Contains(tried, e.member.Node)
+		if usable {
+			t := r.distance(&e.member)
+			byTier[t] = append(byTier[t], e)
+		}
+	}
+	return byTier
+}
+
+func (r *Router) distance(m *mesh.Member) tier {
+	switch {
+	case m.Zone == r.home.Zone && m.Region == r.home.Region:
+		return sameZone
+	case m.Region == r.home.Region:
+		return sameRegion
+	}
+	return remote
+}
+
+// choose compares two random endpoints of each tier, nearest first. It stops
+// at the first tier whose better one has room; otherwise the lowest score wins.
+func (r *Router) choose(s *service, v mesh.UpstreamVersion, tried []mesh.NodeID, rnd Random, now time.Time) *endpoint {
+	byTier := r.candidates(s, v, tried, now)
+	var best *endpoint
+	var bestScore float64
+	for t := range tiers {
+		list := byTier[t]
+		if len(list) == 0 {
+			continue
+		}
+		e, score := r.better(list, t, s, rnd, now)
+		if best == nil || score < bestScore {
+			best, bestScore = e, score
+		}
+		if best == e && e.load(now, r.params.LoadTrust) < r.params.Spill*e.capacity() {
+			break
+		}
+	}
+	return best
+}
+
+// better returns the one with the lower score of two random endpoints of a
+// non-empty list.
+func (r *Router) better(list []*endpoint, t tier, s *service, rnd Random, now time.Time) (*endpoint, float64) {
+	i := rnd.IntN(len(list))
+	a := list[i]
+	scoreA := r.score(a, t, s, now)
+	if len(list) == 1 {
+		return a, scoreA
+	}
+	j := rnd.IntN(len(list) - 1)
+	if j >= i {
+		j++
+	}
+	b := list[j]
+	if scoreB := r.score(b, t, s, now); scoreB < scoreA {
+		return b, scoreB
+	}
+	return a, scoreA
+}
+
+// score estimates the time in ns until the answer of one more call: the way,
+// the time of a call on this endpoint, and the wait for a slot.
+func (r *Router) score(e *endpoint, t tier, s *service, now time.Time) float64 {
+	way := [tiers]time.Duration{0, r.params.RegionCost, r.params.RemoteCost}[t]
+	call := e.latency
+	if call == 0 {
+		call = s.expected // unknown endpoints are taken for average ones
+	}
+	if call == 0 {
+		call = float64(time.Millisecond)
+	}
+	call *= 1 + r.params.FailureCost*e.failures
+	load := e.load(now, r.params.LoadTrust)
+	return float64(way) + call*(1+pressure(load, e.capacity()))
+}
+
+// pressure is the expected wait for a slot in units of the time of a call. The
+// quadratic part tells lightly loaded endpoints apart; the linear part counts
+// the calls that must end first.
+func pressure(load, capacity float64) float64 {
+	used := (load + 1) / capacity
+	wait := used * used / 4
+	if over := load + 1 - capacity; over > 0 {
+		wait += over / capacity
+	}
+	return wait
+}
+
+func (e *endpoint) target() mesh.Target {
+	m := &e.member
+	return mesh.Target{
+		Node: m.Node, Incarnation: m.Incarnation, PeerAddress: m.PeerAddress,
+		Zone: m.Zone, Service: m.Endpoint.Service, Version: m.Endpoint.Version,
+	}
+}
--- /dev/null
+++ b/decision/routing/endpoint.go
@@ -0,0 +1,168 @@
+package routing
+
+import (
+	"math"
+	"time"
+
+	"teaselring/mesh"
+	"teaselring/result"
+)
+
+// endpoint is what this node observed of one upstream.
+type endpoint struct {
+	member   mesh.Member
+	inFlight int     // own attempts
+	latency  float64 // average time of an answer in ns, 0 when unknown
+	failures float64 // share of attempts that failed, 0 to 1
+
+	// others is the load that does not come from this node, as the last answer
+	// reported it.
+	others   float64
+	limit    int // reported limit, 0 when unknown
+	reported time.Time
+
+	avoidUntil time.Time
+	strikes    int // failed trials in a row
+	trialUntil time.Time
+}
+
+func newEndpoint(m *mesh.Member) *endpoint { return &endpoint{member: *m} }
+
+// forgetHistory drops what was learned about an earlier upstream process.
+// Attempts in flight stay counted until their outcomes arrive.
+func (e *endpoint) forgetHistory() {
+	*e = endpoint{member: e.member, inFlight: e.inFlight}
+}
+
+func (e *endpoint) begin(now time.Time, lease time.Duration) {
+	e.inFlight++
+	if e.strikes > 0 {
+		e.trialUntil = now.Add(lease)
+	}
+}
+
+func (e *endpoint) leave() {
+	if e.inFlight > 0 {
+		e.inFlight--
+	}
+}
+
+// report takes over a reported load. It is called while the attempt is still
+// counted, since the report counts it too. The values are bounded because an
+// upstream may report anything.
+func (e *endpoint) report(load *mesh.Load, now time.Time) {
+	if load == nil {
+		return
+	}
+	slots := e.slots()
+	e.limit = min(max(load.Limit, 1), slots)
+	total := min(max(load.InFlight, 0), slots) + min(max(load.Queued, 0), maxQueue)
+	e.others = math.Max(0, float64(total-e.inFlight))
+	e.reported = now
+}
+
+// maxQueue is the largest queue that a service record can declare.
+const maxQueue = 1024
+
+func (e *endpoint) slots() int { return max(e.member.Endpoint.Slots, 1) }
+
+// capacity is the number of attempts that the endpoint runs at a time.
+func (e *endpoint) capacity() float64 {
+	if e.limit > 0 {
+		return float64(e.limit)
+	}
+	return float64(e.slots())
+}
+
+// load is the estimated number of attempts at the endpoint: the own ones, and
+// those of others with a weight that falls with the age of the report.
+func (e *endpoint) load(now time.Time, trust time.Duration) float64 {
+	if e.others == 0 {
+		return float64(e.inFlight)
+	}
+	age := now.Sub(e.reported)
+	return float64(e.inFlight) + e.others*math.Exp(-float64(age)/float64(trust))
+}
+
+// learn updates averages and penalties from an outcome.
+func (e *endpoint) learn(o *mesh.Outcome, now time.Time, p *Params) {
+	switch {
+	case unreachable(o):
+		e.strike(now, p)
+		return
+	case o.Shed:
+		e.full(now)
+	case answered(o):
+		e.latency = average(e.latency, float64(o.Duration), p.Smoothing)
+		e.recover(now)
+	}
+	failed := 0.0
+	if o.Failed && !o.Shed {
+		failed = 1
+	}
+	e.failures += p.Smoothing * (failed - e.failures)
+}
+
+// full records that the endpoint refused a call under load, which the last
+// report may contradict.
+func (e *endpoint) full(now time.Time) {
+	e.others = math.Max(e.others, e.capacity()-float64(e.inFlight))
+	e.reported = now
+}
+
+// strike starts or doubles the penalty. Attempts of one broken connection fail
+// together, so failures during a penalty do not add to it.
+func (e *endpoint) strike(now time.Time, p *Params) {
+	if now.Before(e.avoidUntil) {
+		return
+	}
+	span := p.PenaltyMax
+	if shift := e.strikes; shift < 16 {
+		span = min(p.PenaltyBase<<shift, p.PenaltyMax)
+	}
+	e.strikes++
+	e.avoidUntil = now.Add(span)
+	e.trialUntil = time.Time{}
+}
+
+// recover ends the trial period. An answer that arrives during the penalty was
+// sent earlier and proves nothing about new connections.
+func (e *endpoint) recover(now time.Time) {
+	if now.Before(e.avoidUntil) {
+		return
+	}
+	e.strikes = 0
+	e.trialUntil = time.Time{}
+}
+
+// avoided reports whether the endpoint gets no call now: during its penalty,
+// and after it while a single trial call is in flight.
+func (e *endpoint) avoided(now time.Time) bool {
+	return now.Before(e.avoidUntil) || (e.strikes > 0 && now.Before(e.trialUntil))
+}
+
+// unreachable reports whether the outcome shows that new work should go
+// elsewhere at once: no connection, a silent or broken one, a crash, or an
+// owner node that is another life or is leaving while the view lags.
+func unreachable(o *mesh.Outcome) bool {
+	if o.Crashed {
+		return true
+	}
+	switch o.Code {
+	case result.ConnectFailed.Number, result.ConnectionLost.Number, result.UpstreamCrashed.Number,
+		result.Draining.Number, result.WrongIncarnation.Number, result.ShuttingDown.Number:
+		return true
+	}
+	return false
+}
+
+// answered reports whether the upstream ran the call and answered.
+func answered(o *mesh.Outcome) bool { return o.Code == 0 && !o.Shed && o.Status != 0 }
+
+// average moves old towards sample; the first sample is taken whole.
+func average(old, sample, weight float64) float64 {
+	if old == 0 {
+		return sample
+	}
+	return old + weight*(sample-old)
+}
