--- /dev/null
+++ b/decision/limit/attempts_test.go
@@ -0,0 +1,108 @@
+package limit
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"teaselring/mesh"
+	"teaselring/result"
+)
+
+var _ = Describe("Attempts", func() {
+	var a *Attempts
+	deadline := at(2 * time.Second)
+	BeforeEach(func() { a = NewAttempts(4) })
+
+	It("admits an id once", func() {
+		Expect(a.Admit("x", deadline, start)).To(Succeed())
+		Expect(result.Of(a.Admit("x", deadline, start))).To(Equal(result.AttemptDuplicate))
+	})
+
+	It("never begins an attempt that was settled before it arrived", func() {
+		Expect(a.Settle("x", deadline, start)).To(BeTrue())
+		Expect(result.Of(a.Admit("x", deadline, start))).To(Equal(result.Fenced))
+		Expect(a.Begin("x")).To(BeFalse())
+		Expect(a.Settle("x", deadline, start)).To(BeTrue())
+	})
+
+	It("never begins an attempt that was settled while it waited", func() {
+		Expect(a.Admit("x", deadline, start)).To(Succeed())
+		Expect(a.Settle("x", deadline, start)).To(BeTrue())
+		Expect(a.Begin("x")).To(BeFalse())
+	})
+
+	It("never reports an attempt as not run that began", func() {
+		Expect(a.Admit("x", deadline, start)).To(Succeed())
+		Expect(a.Begin("x")).To(BeTrue())
+		Expect(a.Settle("x", deadline, start)).To(BeFalse())
+		a.End("x")
+		Expect(a.Settle("x", deadline, at(11*time.Second))).To(BeFalse())
+		Expect(a.Settle("x", deadline, at(13*time.Second))).To(BeFalse(), "it may have been forgotten")
+	})
+
+	It("remembers an attempt that still runs after its deadline", func() {
+		Expect(a.Admit("x", deadline, start)).To(Succeed())
+		Expect(a.Begin("x")).To(BeTrue())
+		Expect(a.Settle("x", time.Time{}, at(time.Minute))).To(BeFalse())
+		a.End("x")
+		a.Expire(at(2 * time.Minute))
+		Expect(a.Len()).To(BeZero())
+	})
+
+	It("refuses new work instead of forgetting an unexpired fence", func() {
+		for i := range 4 {
+			Expect(a.Settle(mesh.AttemptID(fmt.Sprint(i)), deadline, start)).To(BeTrue())
+		}
+		Expect(result.Of(a.Admit("x", deadline, start))).To(Equal(result.RingFull))
+		Expect(a.Settle("x", deadline, start)).To(BeFalse(), "a fence that is not kept must not be promised")
+		Expect(result.Of(a.Admit("0", deadline, start))).To(Equal(result.Fenced))
+		Expect(a.Admit("x", at(time.Minute), at(13*time.Second))).To(Succeed())
+		Expect(a.Len()).To(Equal(1))
+	})
+})
+
+var _ = Describe("CallerLimits", func() {
+	var l *CallerLimits
+	BeforeEach(func() { l = NewCallerLimits(CallerParams{Capacity: 40, Default: 12}) })
+	take := func(id mesh.CallerID, declared, n int) (taken int) {
+		for range n {
+			if l.Acquire(id, declared) == nil {
+				taken++
+			}
+		}
+		return taken
+	}
+
+	It("limits a caller to its record, or to the default", func() {
+		Expect(take("billing", 5, 20)).To(Equal(5))
+		Expect(take("shop", 0, 20)).To(Equal(12))
+		l.Release("billing")
+		Expect(take("billing", 5, 20)).To(Equal(1))
+	})
+
+	It("does not let a caller get more by using many names", func() {
+		total := 0
+		for i := range 30 {
+			total += take(mesh.CallerID(fmt.Sprint("bot", i)), 0, 4)
+		}
+		Expect(total).To(Equal(20))
+		Expect(take("billing", 10, 10)).To(Equal(10))
+	})
+
+	It("refuses the flooding caller first", func() {
+		Expect(take("flood", 1000, 1000)).To(BeNumerically("<=", 40))
+		Expect(take("billing", 10, 10)).To(BeNumerically(">", 0), "a flood took every place")
+	})
+
+	It("keeps no entry for a caller without calls", func() {
+		take("a", 0, 3)
+		for range 5 {
+			l.Release("a")
+		}
+		caller, all := l.InFlight("a")
+		Expect([]int{caller, all, len(l.callers), l.unnamed}).To(Equal([]int{0, 0, 0, 0}))
+	})
+})
