--- a/decision/limit/slots.go
+++ b/decision/limit/slots.go
@@ -111,7 +111,7 @@
 		return nil, result.Draining.Err()
 	}
 	if s.slots == 0 {
-		return nil, result.NoEndpoint.Err()
+		return nil, result.Draining.Errorf("no upstream is ready")
 	}
 	if !q.Deadline.After(now) {
 		return nil, result.DeadlineBefore.Err()
