Settle a lost attempt only before its deadline

Cause: an owner node forgets an attempt some time after its deadline; a later question would be answered as for one that never came, a false "not run". Change: the settle request carries the time left, and none is sent without any. Conclusion: after the deadline the answer is "may have run".

--- a/plugins/callforward/exchange.go
+++ b/plugins/callforward/exchange.go
@@ -168,10 +168,9 @@
 	if request.URL.RawPath != "" {
 		request.URL.RawPath = callPrefix + request.URL.RawPath
 	}
-	began := time.Now()
 	answer, err := c.Peers.Transport.RoundTrip(request)
 	if err != nil {
-		return nil, nil, c.settleFailure(ctx, a, err, connected.Load(), began)
+		return nil, nil, c.settleFailure(ctx, a, err, connected.Load())
 	}
 	load := parseLoad(answer.Header.Get(headerLoad))
 	if number := answer.Header.Get(port.CodeHeader); number != "" {
@@ -182,18 +181,13 @@
 	return answer, load, nil
 }
 
-// settleHorizon is the greatest age of an attempt at which its owner node is
-// asked whether it began. Owner nodes remember attempts for longer, so that an
-// attempt they don't know was never admitted.
-const settleHorizon = time.Minute
-
 // settleFailure finds out whether an attempt without an answer began. Without
 // proof it is answered "may have run".
-func (c *exchange) settleFailure(ctx context.Context, a *attempt, cause error, connected bool, began time.Time) error {
+func (c *exchange) settleFailure(ctx context.Context, a *attempt, cause error, connected bool) error {
 	if !connected {
 		return result.ConnectFailed.Errorf("node %s: %v", a.target.Node, cause)
 	}
-	if time.Since(began) < settleHorizon && c.askFenced(a) {
+	if c.askFenced(a) {
 		return result.Fenced.Errorf("node %s: %v", a.target.Node, cause)
 	}
 	if context.Cause(ctx) == errDeadline {
@@ -204,8 +198,13 @@
 
 // askFenced reports whether the owner node confirmed that the attempt never
 // began and never will. The broken connection has left the client's pool, so
-// that the question travels on a fresh one.
+// that the question travels on a fresh one. After the deadline the owner node
+// may have forgotten the attempt, so there is no proof any more.
 func (c *exchange) askFenced(a *attempt) bool {
+	left := time.Until(a.call.Deadline)
+	if left <= 0 {
+		return false
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), c.settleTimeout)
 	defer cancel()
 	url := "https://" + a.target.PeerAddress + settlePath
@@ -214,6 +213,7 @@
 		return false
 	}
 	request.Header.Set(headerAttempt, string(a.id))
+	request.Header.Set(headerDeadline, strconv.FormatInt(left.Milliseconds(), 10))
 	request.Header.Set(headerIncarnation, strconv.FormatUint(uint64(a.target.Incarnation), 10))
 	answer, err := c.Peers.Do(request)
 	if err != nil {
--- a/plugins/callforward/owner.go
+++ b/plugins/callforward/owner.go
@@ -213,12 +213,14 @@
 func (o *owner) settle(w http.ResponseWriter, r *http.Request) {
 	incarnation, err := strconv.ParseUint(r.Header.Get(headerIncarnation), 10, 64)
 	id := r.Header.Get(headerAttempt)
-	if err != nil || id == "" {
-		port.Refuse(w, result.BadRequest.Errorf("headers %s and %s are required", headerAttempt, headerIncarnation))
+	left, leftErr := strconv.ParseInt(r.Header.Get(headerDeadline), 10, 64)
+	if err != nil || leftErr != nil || id == "" {
+		port.Refuse(w, result.BadRequest.Errorf("headers %s, %s and %s are required", headerAttempt, headerIncarnation, headerDeadline))
 		return
 	}
 	settled, err := kernel.Do(r.Context(), o.in.Settle, port.Settle{
 		Attempt: mesh.AttemptID(id), Incarnation: mesh.Incarnation(incarnation),
+		Deadline: time.Now().Add(time.Duration(left) * time.Millisecond),
 	})
 	if err != nil {
 		port.Refuse(w, err)
