Add first versions of the router and slots plug-ins

Cause: the thin path needs them before their full versions are ready. Change: call.router and call.slots join the decision packages to their rings.

--- a/cmd/teasel-node/plugins.go
+++ b/cmd/teasel-node/plugins.go
@@ -4,6 +4,8 @@
 import (
 	_ "teaselring/plugins/audittrail"
 	_ "teaselring/plugins/callforward"
+	_ "teaselring/plugins/callrouter"
+	_ "teaselring/plugins/callslots"
 	_ "teaselring/plugins/configsource"
 	_ "teaselring/plugins/configstore"
 	_ "teaselring/plugins/edgecallers"
