Serve the first call end to end

Cause: the thin path is the ground for every later part. Change: the suite starts the platform stand-in, three nodes and an upstream as processes, applies records through a node, and sends once-only calls through every node. Conclusion: the path stands; failure tests and measurements build on it.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 .PHONY: build demo test lint measure measure-moves measure-convergence
 
 build:
-	go build -o bin/ ./cmd/...
+	go build -o bin/ ./cmd/... ./test/platform ./test/upstream
 
 demo:
 	go run ./cmd/teasel-demo
--- a/test/harness/cluster.go
+++ b/test/harness/cluster.go
@@ -74,6 +74,15 @@
 	}
 }
 
+// WaitListening waits until every node accepts operators' requests. A node is
+// ready only once it has a configuration.
+func (c *Cluster) WaitListening() {
+	c.H.tb.Helper()
+	for _, n := range c.Nodes {
+		c.H.WaitListening(n.Operators)
+	}
+}
+
 // WaitReady waits until every node is ready.
 func (c *Cluster) WaitReady() {
 	c.H.tb.Helper()
--- a/test/suite/path_test.go
+++ b/test/suite/path_test.go
@@ -16,7 +16,7 @@
 	It("enters at any node, runs once on an upstream beside another and is answered whole", func() {
 		c := harness.NewCluster(harness.New(GinkgoT()), 3, "n0", "n1", "n2")
 		c.Start()
-		c.WaitReady()
+		c.WaitListening()
 		upstream := c.H.StartUpstream("u1", "stock", "v1", c.Nodes[1].Announce)
 		applied(c, "first")
 
