--- a/Makefile
+++ b/Makefile
@@ -11,3 +11,6 @@
 
 lint:
 	bash tools/lint.sh
+
+measure-moves:
+	go run ./test/measure/moves -scenarios test/measure/moves/scenarios.toml
--- /dev/null
+++ b/decision/moves/doubt.go
@@ -0,0 +1,90 @@
+package moves
+
+import "time"
+
+// doubt is the state in which the share goes back to half because answers got
+// worse at full share. Both versions then carry the same load, and their
+// answers in the same window decide. Without it, a platform outage or a surge
+// of load in the watch period would look like a bad version.
+type doubt struct {
+	active   bool
+	since    time.Time
+	last     time.Time // when it was last active
+	relapses int
+	before   window // totals at the start of the doubt
+}
+
+const (
+	// doubtClear is the log likelihood ratio, gathered at half share, that
+	// ends a doubt.
+	doubtClear = 2
+	// maxDoubtSpan ends a doubt in which too few calls arrived.
+	maxDoubtSpan = 90 * time.Second
+)
+
+func (d *doubt) step(p *Pool, now time.Time) {
+	if d.active {
+		d.last = now
+		d.tryEnd(p, now)
+		return
+	}
+	for i := range p.detectors {
+		if !p.detectors[i].surging() {
+			return
+		}
+	}
+	d.active, d.since, d.before = true, now, p.sum()
+	for i := range p.detectors {
+		p.detectors[i].restart()
+		p.detectors[i].resetSurge()
+		p.detectors[i].good.resetFresh()
+	}
+}
+
+func (d *doubt) tryEnd(p *Pool, now time.Time) {
+	span := now.Sub(d.since)
+	if span < doubtSpan {
+		return
+	}
+	for i := range p.detectors {
+		if !p.detectors[i].good.clear() && span < maxDoubtSpan {
+			return
+		}
+	}
+	d.active = false
+	for i := range p.detectors {
+		p.detectors[i].resetSurge()
+	}
+	d.noteRelapse(p)
+}
+
+// noteRelapse counts a doubt in which the old version answered as well as it
+// always did: whatever made the answers worse at full share is then no common
+// cause, and happening again it counts as badness under load.
+func (d *doubt) noteRelapse(p *Pool) {
+	during := p.sum()
+	during.sub(&d.before)
+	if surgedOld(&during, &d.before) {
+		return
+	}
+	d.relapses++
+	if d.relapses >= p.settings.fullShareRelapses() && !p.shown {
+		p.shown = true
+		p.reason = "answers get worse at full share and recover at half share"
+	}
+}
+
+// surgedOld reports whether the old version failed clearly more than before.
+func surgedOld(during, before *window) bool {
+	rate := max(float64(before.old.Failures)/max(float64(before.old.Calls), 1), minRefRate)
+	h := hits{newHits: float64(during.old.Failures), newCalls: float64(during.old.Calls)}
+	return cusum(0, h, rate, 3, MeasurableExcess) > doubtClear
+}
+
+func (p *Pool) sum() window {
+	var w window
+	for i := range p.totals {
+		w.add(&p.totals[i])
+	}
+	return w
+}
--- /dev/null
+++ b/decision/moves/holder.go
@@ -0,0 +1,119 @@
+package moves
+
+import (
+	"fmt"
+	"time"
+
+	"teaselring/mesh"
+)
+
+// Holder is the deciding layer of one move, on the node that has its lease.
+// All it remembers is when the share last changed, so a node that takes over
+// loses nothing by starting with an empty one.
+type Holder struct {
+	settings Settings
+	share    float64   // as last seen in the row
+	since    time.Time // when that share was first seen
+}
+
+// NewHolder returns a holder that has seen no row yet.
+func NewHolder(s Settings) *Holder { return &Holder{settings: s} }
+
+// Next returns the row that should follow, given the verdict on the pooled
+// evidence, or false when the row should stay. The caller writes it with a
+// check that the row is still the same, and calls again with the row that
+// stands. A row is also written to renew the lease.
+func (h *Holder) Next(row mesh.Move, v *mesh.Verdict, now time.Time) (mesh.Move, bool) {
+	if h.since.IsZero() || row.Share != h.share {
+		h.share, h.since = row.Share, now
+	}
+	next, changed := decide(h.settings, row, v, h.since, now)
+	if row.Phase.Ended() || !changed && !MustRenew(&row, now) {
+		return row, false
+	}
+	next.Step++
+	next.LeaseUntil = now.Add(LeaseDuration)
+	return next, true
+}
+
+// TakeBack returns the row that takes a move back at an operator's request.
+func TakeBack(row mesh.Move, by, why string) mesh.Move {
+	row.Phase, row.Share = mesh.MoveTakingBack, 0
+	row.Reason = fmt.Sprintf("taken back by %s: %s", by, why)
+	row.Step++
+	return row
+}
+
+// decide is the whole decision: what follows from the row and the verdict on
+// the evidence, at a share that has been in force since a time.
+func decide(s Settings, row mesh.Move, v *mesh.Verdict, since, now time.Time) (mesh.Move, bool) {
+	switch {
+	case row.Phase.Ended():
+		return row, false
+	case row.Phase == mesh.MoveTakingBack:
+		row.Phase = mesh.MoveTakenBack
+		return row, true
+	case v.Bad:
+		return takingBack(row, v.Reason), true
+	case v.Nodes > 1 && 2*v.Cuts > v.Nodes:
+		return takingBack(row, fmt.Sprintf("%d of %d nodes cut the new version", v.Cuts, v.Nodes)), true
+	case now.After(scheduleOf(&row).latestDone()):
+		return takingBack(row, overdue(s, &row, v)), true
+	}
+	next, changed := advance(s, row, v, since, now)
+	if changed {
+		since = now
+	}
+	if earliest := scheduleOf(&next).earliest(rungOf(next.Share), since, now); !next.Late &&
+		!next.Phase.Ended() && earliest.After(scheduleOf(&next).latestDone()) {
+		next.Late = true
+		next.Reason = "can't be done by the target time: " + missing(s, v)
+		return next, true
+	}
+	return next, changed
+}
+
+func takingBack(row mesh.Move, reason string) mesh.Move {
+	row.Phase, row.Share, row.Reason = mesh.MoveTakingBack, 0, reason
+	return row
+}
+
+func overdue(s Settings, row *mesh.Move, v *mesh.Verdict) string {
+	if row.Late {
+		return "not done by the target time: " + missing(s, v)
+	}
+	return "not enough evidence by the target time: " + missing(s, v)
+}
+
+func missing(s Settings, v *mesh.Verdict) string {
+	return fmt.Sprintf("%.1f of %.1f nats after %d calls of the new version",
+		v.Good[len(Excesses)-1], s.fullEvidence(), v.Calls)
+}
+
+// advance raises the share by one rung or finishes the move, when the
+// schedule calls for it and the evidence allows it.
+func advance(s Settings, row mesh.Move, v *mesh.Verdict, since, now time.Time) (mesh.Move, bool) {
+	plan, index := scheduleOf(&row), rungOf(row.Share)
+	if row.Phase == mesh.MoveWatching {
+		watched := now.Sub(later(since, v.Doubted)) >= plan.minWatch() && !now.Before(plan.finish())
+		if !watched || v.Doubt || v.Good[len(Excesses)-1] < 0 {
+			return row, false
+		}
+		row.Phase, row.Share = mesh.MoveDone, 1
+		row.Reason = fmt.Sprintf("no worse than the old version in %d calls", v.Calls)
+		return row, true
+	}
+	next := rungs[index+1]
+	if now.Before(plan.start(index+1)) || index >= 0 && now.Sub(since) < plan.minRung() {
+		return row, false
+	}
+	if v.Doubt || next.excess >= 0 && v.Good[next.excess] < next.evidence*s.fullEvidence() {
+		return row, false
+	}
+	row.Share, row.Phase = next.share, mesh.MoveShifting
+	row.Reason = fmt.Sprintf("share raised after %d calls of the new version", v.Calls)
+	if next.share == 1 {
+		row.Phase = mesh.MoveWatching
+	}
+	return row, true
+}
--- /dev/null
+++ b/decision/moves/pool.go
@@ -0,0 +1,257 @@
+package moves
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"teaselring/mesh"
+)
+
+// groups is how many groups the reporting nodes form. Each group is left out
+// of one detector, and a verdict needs all detectors to agree, so no single
+// node can bring one about. Four groups cost a quarter of the evidence.
+const groups = 4
+
+// minGroups is the number of groups with reports from which on one is left
+// out. With fewer nodes than that, all evidence is used.
+const minGroups = 3
+
+// agreeingCuts is how many nodes must have cut the new version before the
+// pooled test believes it with less evidence, the square root of the e-value.
+// Nodes reach the full evidence at somewhat different times; the second one
+// pulls the others along. One lying node alone changes nothing.
+const agreeingCuts = 2
+
+// Pool gathers the evidence of all nodes about one move and tests it.
+type Pool struct {
+	settings  Settings
+	nodes     map[mesh.NodeID]*reporter
+	routes    map[mesh.RouteID]int
+	names     []mesh.RouteID
+	pending   []groupWindow
+	detectors []detector // detector i leaves out group i
+	totals    []window   // of each route, for reasons
+	sums      []window   // of all groups; kept between windows to save allocations
+	rest      []window   // of all groups but one; likewise
+	doubt     doubt
+	shown     bool // bad, for good
+	reason    string
+}
+
+type reporter struct {
+	group  int
+	latest mesh.Evidence
+}
+
+type groupWindow struct {
+	routes []window
+	used   bool // the group has reported at some time
+}
+
+// NewPool returns an empty pool for the evidence of all nodes.
+func NewPool(s Settings) *Pool { return newPool(s, groups) }
+
+// newPool with one group is for evidence that is trusted whole: a node's own.
+func newPool(s Settings, count int) *Pool {
+	return &Pool{
+		settings: s, nodes: map[mesh.NodeID]*reporter{}, routes: map[mesh.RouteID]int{},
+		pending: make([]groupWindow, count), detectors: make([]detector, count),
+	}
+}
+
+// Hear adds a report. Reports that are not newer than one of the same node
+// are ignored, so repeated and crossing messages do no harm.
+func (p *Pool) Hear(e *mesh.Evidence) {
+	r := p.nodes[e.Node]
+	if r == nil {
+		r = &reporter{group: len(p.nodes) % len(p.pending)}
+		p.nodes[e.Node] = r
+	}
+	before := r.latest
+	if e.Incarnation < before.Incarnation ||
+		e.Incarnation == before.Incarnation && e.Sequence <= before.Sequence {
+		return
+	}
+	if e.Incarnation > before.Incarnation {
+		before = mesh.Evidence{}
+	}
+	r.latest = *e
+	g := &p.pending[r.group]
+	g.used = true
+	if e.Sequence-before.Sequence > maxReportGap {
+		return
+	}
+	for i := range e.Routes {
+		c := &e.Routes[i]
+		grown := window{old: c.Old, new: c.New}
+		if b := comparison(&before, c.Route, i); b != nil {
+			grown.sub(&window{old: b.Old, new: b.New})
+		}
+		at := p.route(c.Route)
+		for len(g.routes) <= at {
+			g.routes = append(g.routes, window{})
+		}
+		g.routes[at].add(&grown)
+	}
+}
+
+// comparison finds a route in an earlier report, most often at the same place.
+func comparison(e *mesh.Evidence, route mesh.RouteID, hint int) *mesh.Comparison {
+	if hint < len(e.Routes) && e.Routes[hint].Route == route {
+		return &e.Routes[hint]
+	}
+	for i := range e.Routes {
+		if e.Routes[i].Route == route {
+			return &e.Routes[i]
+		}
+	}
+	return nil
+}
+
+func (p *Pool) route(id mesh.RouteID) int {
+	i, known := p.routes[id]
+	if !known {
+		i = len(p.names)
+		p.routes[id] = i
+		p.names = append(p.names, id)
+	}
+	return i
+}
+
+// Close ends a window: what was heard since the last call is tested.
+func (p *Pool) Close(now time.Time) {
+	p.sums = cleared(p.sums, len(p.names))
+	routes, used := p.sums, 0
+	for g := range p.pending {
+		for i := range p.pending[g].routes {
+			routes[i].add(&p.pending[g].routes[i])
+		}
+		if p.pending[g].used {
+			used++
+		}
+	}
+	for len(p.totals) < len(routes) {
+		p.totals = append(p.totals, window{})
+	}
+	for i := range routes {
+		p.totals[i].add(&routes[i])
+	}
+	for d := range p.detectors {
+		p.test(d, routes, used)
+	}
+	for g := range p.pending {
+		clear(p.pending[g].routes)
+	}
+	p.judge()
+	p.doubt.step(p, now)
+}
+
+// cleared returns a slice of n empty windows, in the same memory if it fits.
+func cleared(list []window, n int) []window {
+	if cap(list) < n {
+		return make([]window, n)
+	}
+	list = list[:n]
+	clear(list)
+	return list
+}
+
+// test gives detector d the window of all groups but group d.
+func (p *Pool) test(d int, routes []window, used int) {
+	p.rest = append(p.rest[:0], routes...)
+	rest := p.rest
+	if used >= minGroups {
+		for i := range p.pending[d].routes {
+			rest[i].sub(&p.pending[d].routes[i])
+		}
+	}
+	var all window
+	for i := range rest {
+		all.add(&rest[i])
+	}
+	p.detectors[d].update(&all, rest)
+}
+
+func (p *Pool) judge() {
+	if p.shown {
+		return
+	}
+	least, route, by := p.detectors[0].eValue()
+	for d := 1; d < len(p.detectors); d++ {
+		if v, r, c := p.detectors[d].eValue(); v < least {
+			least, route, by = v, r, c
+		}
+	}
+	threshold := p.settings.shownBad()
+	if p.cuts() >= agreeingCuts {
+		threshold = math.Sqrt(threshold)
+	}
+	if least >= threshold {
+		p.shown, p.reason = true, p.describe(route, by)
+	}
+}
+
+// describe names the counts behind a verdict for operators.
+func (p *Pool) describe(route int, by cause) string {
+	name := "all routes"
+	var w window
+	if route == allRoutes {
+		for i := range p.totals {
+			w.add(&p.totals[i])
+		}
+	} else {
+		name, w = fmt.Sprintf("route %q", p.names[route]), p.totals[route]
+	}
+	count := func(t *mesh.Tally) uint32 {
+		switch by {
+		case byCrashes:
+			return t.Crashes
+		case byShedding:
+			return t.Shed
+		default:
+			return t.Failures
+		}
+	}
+	if by == bySlowness {
+		return fmt.Sprintf("%s of %s: new version slower than old in %d calls against %d",
+			by, name, w.new.Calls, w.old.Calls)
+	}
+	return fmt.Sprintf("%s of %s: new version %d in %d calls, old version %d in %d",
+		by, name, count(&w.new), w.new.Calls, count(&w.old), w.old.Calls)
+}
+
+// Verdict returns the result of all closed windows.
+func (p *Pool) Verdict() mesh.Verdict {
+	v := mesh.Verdict{Bad: p.shown, Reason: p.reason, Doubt: p.doubt.active, Doubted: p.doubt.last, Nodes: len(p.nodes)}
+	v.Good = p.detectors[0].good.nats
+	for d := range p.detectors {
+		for i, nats := range p.detectors[d].good.nats {
+			v.Good[i] = min(v.Good[i], nats)
+		}
+	}
+	for i := range p.totals {
+		v.Calls += p.totals[i].new.Calls
+	}
+	v.Cuts = p.cuts()
+	return v
+}
+
+func (p *Pool) cuts() int {
+	n := 0
+	for _, r := range p.nodes {
+		if r.latest.Cut {
+			n++
+		}
+	}
+	return n
+}
+
+// Reports returns the newest report of each node, in no particular order.
+func (p *Pool) Reports() []mesh.Evidence {
+	list := make([]mesh.Evidence, 0, len(p.nodes))
+	for _, r := range p.nodes {
+		list = append(list, r.latest)
+	}
+	return list
+}
--- /dev/null
+++ b/decision/moves/settings.go
@@ -0,0 +1,94 @@
+// Package moves decides how the calls of a service shift from an old upstream
+// version to a new one. Guard is the local layer, which every node runs;
+// Holder is the deciding layer, which the node that holds the lease runs.
+// Time is an argument everywhere; nothing here reads a clock.
+package moves
+
+import (
+	"math"
+	"time"
+)
+
+// Settings of the decisions about moves.
+type Settings struct {
+	// Weight is the cost of missing a bad version divided by the cost of
+	// delaying a good one.
+	Weight float64
+}
+
+// Weights of the two sample deployments. The sock office counts a late move
+// as much as a missed bad version; the licence mesh counts a missed one ten
+// times as much.
+var (
+	SockOffice  = Settings{Weight: 1}
+	LicenceMesh = Settings{Weight: 10}
+)
+
+// FalseAlarm is the stated upper bound on the probability that a version no
+// worse than the old one is ever shown to be bad, over all routes and looks.
+func (s Settings) FalseAlarm() float64 { return clamp(0.001*s.Weight, 1e-5, 0.02) }
+
+// Miss is the stated probability that a version failing MeasurableExcess more
+// often than the old one gathers the evidence for full share.
+func (s Settings) Miss() float64 { return clamp(0.01/s.Weight, 1e-5, 0.05) }
+
+// shownBad is the e-value at which a version counts as bad. By Ville's
+// inequality an e-process of a good version exceeds it with at most the
+// probability FalseAlarm, however often it is looked at.
+func (s Settings) shownBad() float64 { return 1 / s.FalseAlarm() }
+
+// fullEvidence is the log likelihood ratio against the excess of a rung
+// that the rung needs.
+func (s Settings) fullEvidence() float64 { return math.Log(1 / s.Miss()) }
+
+// fullShareRelapses is how often calls may go bad at full share and be good
+// again at half share before the version counts as bad under load. A single
+// time can be a short fault of the network.
+func (s Settings) fullShareRelapses() int {
+	if s.Weight >= 4 {
+		return 2
+	}
+	return 3
+}
+
+// Fixed values of the protocol and the tests.
+const (
+	LeaseDuration = 12 * time.Second
+	RenewInterval = 4 * time.Second
+	// maxClockSkew is how far the clocks of two nodes may differ.
+	maxClockSkew = 2 * time.Second
+
+	// FirstShare is the share of the new version until evidence allows more.
+	FirstShare = 0.05
+	// MeasurableExcess is the smallest excess failure rate that must be ruled
+	// out before full share.
+	MeasurableExcess = 0.01
+	// maxReportGap is how many reports of a node may be missing between two
+	// that are compared. Over a longer span share and failure rate may have
+	// changed together, which would look like a difference of the versions.
+	maxReportGap = 10
+	// MinDuration is the shortest time between declaration and target: the
+	// steps and the watch period need at least this much.
+	MinDuration = time.Minute
+
+	// coldSpan and coldCalls bound the cold start of an upstream process.
+	// Its first answers are no evidence, except for crashes.
+	coldSpan  = 10 * time.Second
+	coldCalls = 12
+	// crashEcho is how long failures of an upstream that crashed are taken as
+	// consequences of that crash: membership drops it within 3 s.
+	crashEcho = 3 * time.Second
+
+	// doubtShare gives both versions the same load, which makes their answers
+	// comparable again when nothing or little went to the old version.
+	doubtShare = 0.5
+	doubtFrom  = 0.8 // share above which too few calls are left for comparison
+	doubtSpan  = 10 * time.Second
+)
+
+// Excesses are the excess failure rates that evidence is gathered against.
+// The larger ones are ruled out with fewer calls and are enough for shares
+// at which the smaller ones do little harm.
+var Excesses = [...]float64{0.04, 0.03, 0.02, 0.015, MeasurableExcess}
+
+func clamp(v, low, high float64) float64 { return math.Min(math.Max(v, low), high) }
--- /dev/null
+++ b/decision/moves/tally.go
@@ -0,0 +1,79 @@
+package moves
+
+import "teaselring/mesh"
+
+func addTally(to *mesh.Tally, t *mesh.Tally) {
+	to.Calls += t.Calls
+	to.Failures += t.Failures
+	to.Shed += t.Shed
+	to.Crashes += t.Crashes
+	for i := range t.Latency {
+		to.Latency[i] += t.Latency[i]
+	}
+}
+
+func subTally(from *mesh.Tally, t *mesh.Tally) {
+	from.Calls -= min(from.Calls, t.Calls)
+	from.Failures -= min(from.Failures, t.Failures)
+	from.Shed -= min(from.Shed, t.Shed)
+	from.Crashes -= min(from.Crashes, t.Crashes)
+	for i := range t.Latency {
+		from.Latency[i] -= min(from.Latency[i], t.Latency[i])
+	}
+}
+
+// window is what both versions answered in one span of time.
+type window struct{ old, new mesh.Tally }
+
+func (w *window) add(o *window) {
+	addTally(&w.old, &o.old)
+	addTally(&w.new, &o.new)
+}
+
+func (w *window) sub(o *window) {
+	subTally(&w.old, &o.old)
+	subTally(&w.new, &o.new)
+}
+
+// crashes counts a window with any crash once: the calls that one crash ends
+// are reported by every node that had sent one.
+func (w *window) crashes() hits {
+	return hits{
+		newHits: float64(min(w.new.Crashes, 1)), newCalls: float64(w.new.Calls),
+		oldHits: float64(min(w.old.Crashes, 1)), oldCalls: float64(w.old.Calls),
+	}
+}
+
+func (w *window) failures() hits {
+	return hits{
+		newHits: float64(w.new.Failures), newCalls: float64(w.new.Calls),
+		oldHits: float64(w.old.Failures), oldCalls: float64(w.old.Calls),
+	}
+}
+
+// shed is comparable only while the new version carries no more load than the
+// old one: shedding in proportion to load is no fault.
+func (w *window) shed() hits {
+	if w.new.Calls > w.old.Calls {
+		return hits{}
+	}
+	return hits{
+		newHits: float64(w.new.Shed), newCalls: float64(w.new.Calls + w.new.Shed),
+		oldHits: float64(w.old.Shed), oldCalls: float64(w.old.Calls + w.old.Shed),
+	}
+}
+
+// slower counts the answers of bucket and above.
+func (w *window) slower(bucket int) hits {
+	var h hits
+	for i := range w.new.Latency {
+		n, o := float64(w.new.Latency[i]), float64(w.old.Latency[i])
+		h.newCalls += n
+		h.oldCalls += o
+		if i >= bucket {
+			h.newHits += n
+			h.oldHits += o
+		}
+	}
+	return h
+}
--- /dev/null
+++ b/mesh/verdict.go
@@ -0,0 +1,21 @@
+package mesh
+
+import "time"
+
+// Verdict is what the pooled evidence of all nodes says about the new version
+// of a move.
+type Verdict struct {
+	Move   MoveID
+	Bad    bool
+	Reason string // set when Bad
+	// Good is the evidence, in nats, that the new version does not fail more
+	// often than the old one by the excess of the same index in
+	// moves.Excesses.
+	Good  [5]float64
+	Doubt bool // answers got worse at full share; half share shows by which version
+	// Doubted is when a doubt was last in force; zero: never.
+	Doubted time.Time
+	Calls   uint32 // of the new version
+	Nodes   int    // that have reported
+	Cuts    int    // of them that have cut the new version
+}
