Group reporting nodes alike and spread doubt between them

Cause: nodes formed the left-out groups in order of hearing, so they reached a verdict up to 213 s apart; doubts of single nodes kept the others from seeing badness at full share. Change: groups by order of id; Evidence.Doubt, which two nodes spread; the clearing of a doubt starts 3 s after it; larger excesses for the first rungs.

--- a/decision/moves/doubt.go
+++ b/decision/moves/doubt.go
@@ -8,16 +8,21 @@
 // of load in the watch period would look like a bad version.
 type doubt struct {
 	active   bool
+	settled  bool
 	since    time.Time
 	last     time.Time // when it was last active
 	relapses int
 	before   window // totals at the start of the doubt
+	others   int    // nodes that doubted at the last window
 }
 
 const (
 	// doubtClear is the log likelihood ratio, gathered at half share, that
 	// ends a doubt.
 	doubtClear = 2
+	// doubtSettle is how long calls that were sent at full share may still
+	// arrive in reports.
+	doubtSettle = 3 * time.Second
 	// maxDoubtSpan ends a doubt in which too few calls arrived.
 	maxDoubtSpan = 90 * time.Second
 )
@@ -25,22 +30,48 @@
 func (d *doubt) step(p *Pool, now time.Time) {
 	if d.active {
 		d.last = now
+		if !d.settled && now.Sub(d.since) >= doubtSettle {
+			d.settled = true
+			for i := range p.detectors {
+				p.detectors[i].good.resetFresh()
+			}
+		}
 		d.tryEnd(p, now)
 		return
 	}
-	for i := range p.detectors {
-		if !p.detectors[i].surging() {
-			return
-		}
+	doubting := p.doubting()
+	joins := d.others < agreeingNodes && doubting >= agreeingNodes
+	d.others = doubting
+	if !joins && !p.surging() {
+		return
 	}
-	d.active, d.since, d.before = true, now, p.sum()
+	d.active, d.settled, d.since, d.last, d.before = true, false, now, now, p.sum()
 	for i := range p.detectors {
 		p.detectors[i].restart()
 		p.detectors[i].resetSurge()
-		p.detectors[i].good.resetFresh()
 	}
 }
 
+// surging reports whether answers got worse whichever group is left out.
+func (p *Pool) surging() bool {
+	for i := range p.detectors {
+		if !p.detectors[i].surging() {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *Pool) doubting() int {
+	n := 0
+	for _, r := range p.nodes {
+		if r.latest.Doubt {
+			n++
+		}
+	}
+	return n
+}
+
 func (d *doubt) tryEnd(p *Pool, now time.Time) {
 	span := now.Sub(d.since)
 	if span < doubtSpan {
@@ -51,7 +82,7 @@
 			return
 		}
 	}
-	d.active = false
+	d.active, d.others = false, p.doubting()
 	for i := range p.detectors {
 		p.detectors[i].resetSurge()
 	}
--- a/decision/moves/guard.go
+++ b/decision/moves/guard.go
@@ -145,6 +145,8 @@
 			e.Cut, e.Reason = true, v.Reason
 		}
 	}
+	e.Doubt = m.pool.doubt.active
+	m.sampler.evidence.Doubt = e.Doubt
 	m.settle(now)
 	return e
 }
--- a/decision/moves/pool.go
+++ b/decision/moves/pool.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"math"
+	"slices"
 	"time"
 
 	"teaselring/mesh"
@@ -17,11 +19,12 @@
 // out. With fewer nodes than that, all evidence is used.
 const minGroups = 3
 
-// agreeingCuts is how many nodes must have cut the new version before the
-// pooled test believes it with less evidence, the square root of the e-value.
-// Nodes reach the full evidence at somewhat different times; the second one
-// pulls the others along. One lying node alone changes nothing.
-const agreeingCuts = 2
+// agreeingNodes is how many other nodes must have cut the new version before
+// the pooled test believes it with less evidence, the square root of the
+// e-value, and how many must doubt it before a node joins the doubt. Nodes
+// reach the full evidence at somewhat different times; the second one pulls
+// the others along. One lying node alone changes nothing.
+const agreeingNodes = 2
 
 // Pool gathers the evidence of all nodes about one move and tests it.
 type Pool struct {
@@ -35,6 +38,7 @@
 	sums      []window   // of all groups; kept between windows to save allocations
 	rest      []window   // of all groups but one; likewise
 	doubt     doubt
+	grouped   bool
 	shown     bool // bad, for good
 	reason    string
 }
@@ -65,7 +69,7 @@
 func (p *Pool) Hear(e *mesh.Evidence) {
 	r := p.nodes[e.Node]
 	if r == nil {
-		r = &reporter{group: len(p.nodes) % len(p.pending)}
+		r = &reporter{group: p.hashGroup(e.Node)}
 		p.nodes[e.Node] = r
 	}
 	before := r.latest
@@ -77,23 +81,62 @@
 		before = mesh.Evidence{}
 	}
 	r.latest = *e
-	g := &p.pending[r.group]
-	g.used = true
 	if e.Sequence-before.Sequence > maxReportGap {
 		return
 	}
+	if !p.grouped && hasNew(e) {
+		p.group()
+	}
+	p.addGrowth(&p.pending[r.group], e, &before)
+}
+
+func (p *Pool) addGrowth(g *groupWindow, e, before *mesh.Evidence) {
+	g.used = true
 	for i := range e.Routes {
-		c := &e.Routes[i]
-		grown := window{old: c.Old, new: c.New}
-		if b := comparison(&before, c.Route, i); b != nil {
-			grown.sub(&window{old: b.Old, new: b.New})
+		c, b := &e.Routes[i], &noComparison
+		if earlier := comparison(before, c.Route, i); earlier != nil {
+			b = earlier
 		}
-		at := p.route(c.Route)
+		at := p.route(c.Route, i)
 		for len(g.routes) <= at {
 			g.routes = append(g.routes, window{})
 		}
-		g.routes[at].add(&grown)
+		addGrowth(&g.routes[at].old, &c.Old, &b.Old)
+		addGrowth(&g.routes[at].new, &c.New, &b.New)
+	}
+}
+
+var noComparison mesh.Comparison
+
+func hasNew(e *mesh.Evidence) bool {
+	for i := range e.Routes {
+		if e.Routes[i].New.Calls > 0 {
+			return true
+		}
 	}
+	return false
+}
+
+// group spreads the nodes known evenly over the groups, in order of id, when
+// the first answer of the new version arrives. All nodes have reported by
+// then, so they form the same groups and reach a verdict at the same time.
+func (p *Pool) group() {
+	p.grouped = true
+	ids := make([]mesh.NodeID, 0, len(p.nodes))
+	for id := range p.nodes {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for i, id := range ids {
+		p.nodes[id].group = i % len(p.pending)
+	}
+}
+
+// hashGroup is the group of a node that reports for the first time later on.
+func (p *Pool) hashGroup(id mesh.NodeID) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	return int(h.Sum32() % uint32(len(p.pending)))
 }
 
 // comparison finds a route in an earlier report, most often at the same place.
@@ -109,7 +152,11 @@
 	return nil
 }
 
-func (p *Pool) route(id mesh.RouteID) int {
+// route returns the index of a route; most reports list routes in one order.
+func (p *Pool) route(id mesh.RouteID, hint int) int {
+	if hint < len(p.names) && p.names[hint] == id {
+		return hint
+	}
 	i, known := p.routes[id]
 	if !known {
 		i = len(p.names)
@@ -184,7 +231,7 @@
 		}
 	}
 	threshold := p.settings.shownBad()
-	if p.cuts() >= agreeingCuts {
+	if p.cuts() >= agreeingNodes {
 		threshold = math.Sqrt(threshold)
 	}
 	if least >= threshold {
@@ -223,7 +270,8 @@
 
 // Verdict returns the result of all closed windows.
 func (p *Pool) Verdict() mesh.Verdict {
-	v := mesh.Verdict{Bad: p.shown, Reason: p.reason, Doubt: p.doubt.active, Doubted: p.doubt.last, Nodes: len(p.nodes)}
+	v := mesh.Verdict{Bad: p.shown, Reason: p.reason, Nodes: len(p.nodes)}
+	v.Doubt, v.Doubted = p.doubt.active || p.doubting() >= agreeingNodes, p.doubt.last
 	v.Good = p.detectors[0].good.nats
 	for d := range p.detectors {
 		for i, nats := range p.detectors[d].good.nats {
--- a/decision/moves/schedule.go
+++ b/decision/moves/schedule.go
@@ -21,9 +21,10 @@
 // The rungs, backwards from the target: margin, watch, and shares that about
 // double. The first share has the longest span because calls arrive slowest
 // there; the watch has the next, because full load is where faults appear
-// that no share before could show.
+// that no share before could show. The first 2% leave the nodes time to hear
+// of the move and of each other.
 var rungs = [...]rung{
-	{share: FirstShare, span: 0.30, excess: -1},
+	{share: FirstShare, span: 0.28, excess: -1},
 	{share: 0.10, span: 0.11, excess: 0, evidence: 0.4},
 	{share: 0.20, span: 0.10, excess: 1, evidence: 0.5},
 	{share: 0.40, span: 0.09, excess: 2, evidence: 0.65},
--- a/decision/moves/settings.go
+++ b/decision/moves/settings.go
@@ -30,7 +30,7 @@
 
 // Miss is the stated probability that a version failing MeasurableExcess more
 // often than the old one gathers the evidence for full share.
-func (s Settings) Miss() float64 { return clamp(0.01/s.Weight, 1e-5, 0.05) }
+func (s Settings) Miss() float64 { return clamp(0.03/s.Weight, 1e-5, 0.05) }
 
 // shownBad is the e-value at which a version counts as bad. By Ville's
 // inequality an e-process of a good version exceeds it with at most the
@@ -89,6 +89,6 @@
 // Excesses are the excess failure rates that evidence is gathered against.
 // The larger ones are ruled out with fewer calls and are enough for shares
 // at which the smaller ones do little harm.
-var Excesses = [...]float64{0.04, 0.03, 0.02, 0.015, MeasurableExcess}
+var Excesses = [...]float64{0.08, 0.05, 0.03, 0.015, MeasurableExcess}
 
 func clamp(v, low, high float64) float64 { return math.Min(math.Max(v, low), high) }
--- a/decision/moves/tally.go
+++ b/decision/moves/tally.go
@@ -12,6 +12,22 @@
 	}
 }
 
+// addGrowth adds what t counts beyond an earlier state of the same tally.
+func addGrowth(to, t, before *mesh.Tally) {
+	if *t == *before {
+		return
+	}
+	to.Calls += t.Calls - min(t.Calls, before.Calls)
+	to.Failures += t.Failures - min(t.Failures, before.Failures)
+	to.Shed += t.Shed - min(t.Shed, before.Shed)
+	to.Crashes += t.Crashes - min(t.Crashes, before.Crashes)
+	for i, n := range t.Latency {
+		if n > before.Latency[i] {
+			to.Latency[i] += n - before.Latency[i]
+		}
+	}
+}
+
 func subTally(from *mesh.Tally, t *mesh.Tally) {
 	from.Calls -= min(from.Calls, t.Calls)
 	from.Failures -= min(from.Failures, t.Failures)
--- a/mesh/evidence.go
+++ b/mesh/evidence.go
@@ -33,6 +33,9 @@
 	// Cut is set when the node has cut the new version's share to zero.
 	Cut    bool   `cbor:"6,keyasint"`
 	Reason string `cbor:"7,keyasint"`
+	// Doubt is set while the node keeps the share at half because answers got
+	// worse at full share.
+	Doubt bool `cbor:"8,keyasint"`
 }
 
 // Crash is the end of an upstream process with calls in flight.
--- a/test/measure/moves/control.go
+++ b/test/measure/moves/control.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"fmt"
+	"io"
 	"math/rand/v2"
 	"time"
 
@@ -22,6 +24,7 @@
 	order    []mesh.ServiceID
 	// mail holds what arrives at each node in each of the next ticks.
 	mail  [][linkDelay + 1]parcel
+	trace io.Writer // nil: none
 	ticks int
 }
 
@@ -142,6 +145,9 @@
 		if err := moves.CheckStep(&h.row, &next); err != nil {
 			panic(err)
 		}
+		if d.trace != nil && next.Reason != h.row.Reason {
+			fmt.Fprintf(d.trace, "%v %s %s share %.2f late %t: %s\n", t, id, next.Phase, next.Share, next.Late, next.Reason)
+		}
 		h.row = next
 		d.noteEnd(h, t)
 		d.sendRow(next)
--- a/test/measure/moves/main.go
+++ b/test/measure/moves/main.go
@@ -45,6 +45,7 @@
 	path := flag.String("scenarios", "test/measure/moves/scenarios.toml", "scenario file")
 	seeds := flag.Int("seeds", 200, "seeds for each family")
 	family := flag.String("family", "", "measure only families whose name has this prefix")
+	trace := flag.Int("trace", -1, "print the steps of this seed of each family and stop")
 	controls := flag.String("controls", "guarded,fixed-steps,no-guard", "what to measure")
 	profile := flag.String("cpuprofile", "", "write a CPU profile to this file")
 	verbose := flag.Bool("v", false, "print the wrong outcomes to standard error")
@@ -59,6 +60,10 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
+	if *trace >= 0 {
+		traceSeed(f, *family, *trace)
+		return
+	}
 	if *profile != "" {
 		defer startProfile(*profile)()
 	}
@@ -85,6 +90,27 @@
 	return pprof.StopCPUProfile
 }
 
+// traceSeed runs one seed of each family and prints the steps of its moves.
+func traceSeed(f *file, family string, n int) {
+	for i := range f.Deployment {
+		dep := &f.Deployment[i]
+		settings, err := dep.settings()
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(2)
+		}
+		for k := range f.Scenario {
+			if sc := &f.Scenario[k]; strings.HasPrefix(sc.Name, family) {
+				seed := seedOf(sc.Name, n)
+				c := newDecided(settings, sc, seed)
+				c.trace = os.Stdout
+				fmt.Println(dep.Name, sc.Name)
+				newWorld(sc, dep, c, seed).run()
+			}
+		}
+	}
+}
+
 // plan lists the series of a run and the jobs that fill them.
 func plan(f *file, seeds int, family, controls string) ([]*series, []job, error) {
 	var all []*series
