Let cuts of other nodes lower the evidence that a node needs

Cause: nodes reached the full evidence up to a minute apart, and counting goodness with a group left out held good moves with little traffic back. Change: each of two cuts lowers the threshold by a quarter of its logarithm; goodness counts all nodes with a limit on the largest group; tolerated slowness is interpolated on a logarithmic scale.

--- a/decision/moves/detector.go
+++ b/decision/moves/detector.go
@@ -40,50 +40,39 @@
 	surge    surge
 }
 
-func (r *routeTest) update(w *window) {
+// update adds a window; weight is that of the tests that start with it.
+func (r *routeTest) update(w *window, weight float64) {
 	if calls := r.total.old.Calls; calls > r.shapedAt+r.shapedAt/reshapePart {
 		r.bounds, r.shapedAt = boundaries(&r.total.old), calls
 	}
 	r.surge.update(w, &r.total.old, &r.bounds)
 	f := w.failures()
 	for i := range r.failures {
-		r.failures[i].update(f.logRatio(failureRatios[i], 1))
+		r.failures[i].update(f.logRatio(failureRatios[i], 1), weight)
 	}
 	for i, b := range r.bounds {
 		if b.bucket == 0 {
 			continue
 		}
 		h := w.slower(b.bucket)
-		r.slow[i][0].update(h.logRatio(b.alt, b.null))
-		r.slow[i][1].update(h.logRatio(tailFactor*b.null, b.null))
+		r.slow[i][0].update(h.logRatio(b.alt, b.null), weight)
+		r.slow[i][1].update(h.logRatio(tailFactor*b.null, b.null), weight)
 	}
-	r.crash.update(w.crashes().logRatio(crashRatio, 1))
-	r.shed.update(w.shed().logRatio(shedRatio, 1))
+	r.crash.update(w.crashes().logRatio(crashRatio, 1), weight)
+	r.shed.update(w.shed().logRatio(shedRatio, 1), weight)
 	r.total.add(w)
 }
 
-func (r *routeTest) restart() {
-	for i := range r.failures {
-		r.failures[i].restart()
-	}
-	for i := range r.slow {
-		r.slow[i][0].restart()
-		r.slow[i][1].restart()
-	}
-	r.crash.restart()
-	r.shed.restart()
-}
-
 // eValue returns the e-value of the route and the property that adds most.
 func (r *routeTest) eValue() (float64, cause) {
 	var failures, slow float64
 	for i := range r.failures {
-		failures += r.failures[i].value * failureWeight / float64(len(r.failures))
+		failures += float64(r.failures[i]) * failureWeight / float64(len(r.failures))
 	}
 	for i := range r.slow {
-		slow += (r.slow[i][0].value + r.slow[i][1].value) * slowWeight / float64(2*len(r.slow))
+		slow += float64(r.slow[i][0]+r.slow[i][1]) * slowWeight / float64(2*len(r.slow))
 	}
-	crash, shed := r.crash.value*crashWeight, r.shed.value*shedWeight
+	crash, shed := float64(r.crash)*crashWeight, float64(r.shed)*shedWeight
 	top, by := failures, byFailures
 	for _, c := range []struct {
 		value float64
@@ -99,27 +88,28 @@
 // detector tests one pool of answers: every route by itself and all of them
 // together.
 type detector struct {
-	all    routeTest
-	routes []routeTest
-	good   goodness
+	all      routeTest
+	routes   []routeTest
+	windows  int
+	restarts int
+	restart  bool // at the next window
 }
 
 // update adds one window; routes are indexed as in the pool.
 func (d *detector) update(all *window, routes []window) {
-	d.good.update(all, &d.all.total.old)
-	d.all.update(all)
+	weight := startWeight(d.windows)
+	d.windows++
+	if d.restart {
+		d.restart = false
+		d.restarts++
+		weight += restartWeight(d.restarts)
+	}
+	d.all.update(all, weight)
 	for len(d.routes) < len(routes) {
 		d.routes = append(d.routes, routeTest{})
 	}
 	for i := range routes {
-		d.routes[i].update(&routes[i])
-	}
-}
-
-func (d *detector) restart() {
-	d.all.restart()
-	for i := range d.routes {
-		d.routes[i].restart()
+		d.routes[i].update(&routes[i], weight)
 	}
 }
 
--- a/decision/moves/doubt.go
+++ b/decision/moves/doubt.go
@@ -32,9 +32,7 @@
 		d.last = now
 		if !d.settled && now.Sub(d.since) >= doubtSettle {
 			d.settled = true
-			for i := range p.detectors {
-				p.detectors[i].good.resetFresh()
-			}
+			p.good.resetFresh()
 		}
 		d.tryEnd(p, now)
 		return
@@ -47,7 +45,7 @@
 	}
 	d.active, d.settled, d.since, d.last, d.before = true, false, now, now, p.sum()
 	for i := range p.detectors {
-		p.detectors[i].restart()
+		p.detectors[i].restart = true
 		p.detectors[i].resetSurge()
 	}
 }
@@ -77,10 +75,8 @@
 	if span < doubtSpan {
 		return
 	}
-	for i := range p.detectors {
-		if !p.detectors[i].good.clear() && span < maxDoubtSpan {
-			return
-		}
+	if !p.good.clear() && span < maxDoubtSpan {
+		return
 	}
 	d.active, d.others = false, p.doubting()
 	for i := range p.detectors {
--- a/decision/moves/eprocess.go
+++ b/decision/moves/eprocess.go
@@ -27,15 +27,10 @@
 }
 
 // eProcess is an always-valid test of one alternative. It is a mixture over
-// start times: half of the weight starts with the move, half is spread over
-// later starts, so that a version that turns bad late is shown soon. Its
+// start times: half of the weight starts with the move, the rest is spread
+// over later starts, so that a version that turns bad late is shown soon. Its
 // expectation is at most 1 for a good version at any stopping time.
-type eProcess struct {
-	value   float64
-	windows int
-	started bool
-	spare   float64 // weight kept for restarts after doubt
-}
+type eProcess float64
 
 // Weights of the start times; their sum is 1. lateStarts is the number of
 // windows after which half of lateWeight has been used.
@@ -47,24 +42,24 @@
 	maxEValue   = 1e60
 )
 
-func (e *eProcess) update(logRatio float64) {
-	if !e.started {
-		e.started, e.value, e.spare = true, firstWeight, spareWeight
-	}
-	t := float64(e.windows)
-	e.windows++
-	e.value += lateWeight * lateStarts / ((t + lateStarts) * (t + lateStarts + 1))
-	if logRatio != 0 {
-		e.value = math.Min(e.value*math.Exp(logRatio), maxEValue)
+// startWeight is the weight of a start at window t, counted from 0.
+func startWeight(t int) float64 {
+	w := lateWeight * lateStarts / ((float64(t) + lateStarts) * (float64(t) + lateStarts + 1))
+	if t == 0 {
+		w += firstWeight
 	}
+	return w
 }
 
-// restart uses half of the spare weight for a start at this window. The
-// caller decides on it from earlier windows only.
-func (e *eProcess) restart() {
-	if !e.started {
-		return
+// restartWeight is the weight of the n-th restart, counted from 1: half of
+// what is left of spareWeight. Whether to restart is decided on earlier
+// windows only.
+func restartWeight(n int) float64 { return spareWeight * math.Pow(0.5, float64(n)) }
+
+func (e *eProcess) update(logRatio, weight float64) {
+	v := float64(*e) + weight
+	if logRatio != 0 {
+		v = math.Min(v*math.Exp(logRatio), maxEValue)
 	}
-	e.spare /= 2
-	e.value += e.spare
+	*e = eProcess(v)
 }
--- a/decision/moves/goodness.go
+++ b/decision/moves/goodness.go
@@ -24,14 +24,16 @@
 	minRate     = 0.0005 // assumed lower bound of a failure rate
 )
 
-func (g *goodness) update(w *window, earlier *mesh.Tally) {
+// update adds a window of all nodes. Of the new version's calls at most limit
+// count, so that one node can't vouch for it with invented calls.
+func (g *goodness) update(w *window, limit float64, earlier *mesh.Tally) {
 	if w.new.Calls == 0 || w.old.Calls == 0 {
 		return
 	}
 	prior := (float64(earlier.Failures) + minRate*priorCalls) / (float64(earlier.Calls) + priorCalls)
 	rate := (float64(w.old.Failures) + prior*priorCalls) / (float64(w.old.Calls) + priorCalls)
 	for i, excess := range Excesses {
-		gain := float64(w.new.Calls) * excess
+		gain := math.Min(float64(w.new.Calls), limit) * excess
 		if w.new.Failures > 0 {
 			gain -= float64(w.new.Failures) * math.Log((rate+excess)/rate)
 		}
--- a/decision/moves/latency.go
+++ b/decision/moves/latency.go
@@ -14,8 +14,10 @@
 
 const (
 	// toleratedSlowdown is the factor that counts as no worse: nearer zones
-	// and fuller caches explain that much.
-	toleratedSlowdown = 1.25
+	// and fuller caches explain that much. The rate of slow answers at it is
+	// interpolated on a logarithmic scale, which is somewhat low for the tails
+	// of latencies, so about 1.25 remains.
+	toleratedSlowdown = 1.35
 	// tailFactor is the second alternative: that many times more slow answers
 	// than tolerated, for a version that is slow only now and then.
 	tailFactor = 4
@@ -68,7 +70,7 @@
 }
 
 func shape(bucket int, tail, doubled float64) boundary {
-	tolerated := tail + (doubled-tail)*math.Log2(toleratedSlowdown)
+	tolerated := tail * math.Pow(doubled/tail, math.Log2(toleratedSlowdown))
 	null := tolerated / tail
 	return boundary{bucket: bucket, tail: tail, null: null, alt: math.Max(doubled/tail, 1.2*null)}
 }
--- a/decision/moves/pool.go
+++ b/decision/moves/pool.go
@@ -19,12 +19,18 @@
 // out. With fewer nodes than that, all evidence is used.
 const minGroups = 3
 
-// agreeingNodes is how many other nodes must have cut the new version before
-// the pooled test believes it with less evidence, the square root of the
-// e-value, and how many must doubt it before a node joins the doubt. Nodes
-// reach the full evidence at somewhat different times; the second one pulls
-// the others along. One lying node alone changes nothing.
-const agreeingNodes = 2
+const (
+	// agreeingNodes is how many other nodes must doubt the new version before
+	// a node joins the doubt.
+	agreeingNodes = 2
+	// agreement is the part of the evidence, in nats, that the pooled test
+	// needs less for each of at most agreeingNodes nodes that have cut the
+	// new version. Nodes reach the full evidence at somewhat different times;
+	// the first ones pull the others along. One lying node can thereby raise
+	// the probability of a false alarm from FalseAlarm to its 3/4th power.
+	agreement = 0.25
+	ownFactor = 16
+)
 
 // Pool gathers the evidence of all nodes about one move and tests it.
 type Pool struct {
@@ -37,6 +43,7 @@
 	totals    []window   // of each route, for reasons
 	sums      []window   // of all groups; kept between windows to save allocations
 	rest      []window   // of all groups but one; likewise
+	good      goodness
 	doubt     doubt
 	grouped   bool
 	shown     bool // bad, for good
@@ -181,9 +188,13 @@
 	for len(p.totals) < len(routes) {
 		p.totals = append(p.totals, window{})
 	}
+	earlier := p.sum()
+	var all window
 	for i := range routes {
 		p.totals[i].add(&routes[i])
+		all.add(&routes[i])
 	}
+	p.good.update(&all, p.countable(&all, used), &earlier.old)
 	for d := range p.detectors {
 		p.test(d, routes, used)
 	}
@@ -194,6 +205,23 @@
 	p.doubt.step(p, now)
 }
 
+// countable is how many calls of the new version count for it: at most twice
+// those of all groups but the largest.
+func (p *Pool) countable(all *window, used int) float64 {
+	if used < minGroups {
+		return float64(all.new.Calls)
+	}
+	var largest uint32
+	for g := range p.pending {
+		var n uint32
+		for i := range p.pending[g].routes {
+			n += p.pending[g].routes[i].new.Calls
+		}
+		largest = max(largest, n)
+	}
+	return 2 * float64(all.new.Calls-largest)
+}
+
 // cleared returns a slice of n empty windows, in the same memory if it fits.
 func cleared(list []window, n int) []window {
 	if cap(list) < n {
@@ -230,15 +258,21 @@
 			least, route, by = v, r, c
 		}
 	}
-	threshold := p.settings.shownBad()
-	if p.cuts() >= agreeingNodes {
-		threshold = math.Sqrt(threshold)
-	}
-	if least >= threshold {
+	if least >= p.threshold() {
 		p.shown, p.reason = true, p.describe(route, by)
 	}
 }
 
+// threshold is the e-value that shows the version to be bad. A node's own
+// evidence needs ownFactor times as much, because every node has such a test.
+func (p *Pool) threshold() float64 {
+	shown := p.settings.shownBad()
+	if len(p.detectors) == 1 {
+		return shown * ownFactor
+	}
+	return math.Pow(shown, 1-agreement*float64(min(p.cuts(), agreeingNodes)))
+}
+
 // describe names the counts behind a verdict for operators.
 func (p *Pool) describe(route int, by cause) string {
 	name := "all routes"
@@ -272,12 +306,7 @@
 func (p *Pool) Verdict() mesh.Verdict {
 	v := mesh.Verdict{Bad: p.shown, Reason: p.reason, Nodes: len(p.nodes)}
 	v.Doubt, v.Doubted = p.doubt.active || p.doubting() >= agreeingNodes, p.doubt.last
-	v.Good = p.detectors[0].good.nats
-	for d := range p.detectors {
-		for i, nats := range p.detectors[d].good.nats {
-			v.Good[i] = min(v.Good[i], nats)
-		}
-	}
+	v.Good = p.good.nats
 	for i := range p.totals {
 		v.Calls += p.totals[i].new.Calls
 	}
