Add the plug-ins that carry out moves

Cause: the decisions about moves need rows, links and the router's samples. Change: moves.guard pools evidence, divides calls and floods reports and rows; moves.holder leads moves under leases, each step one conditional write with its audit entry. The router waits until the moves in progress are known, so that a restarted node does not send calls to a version that was taken back.

--- a/cmd/teasel-node/plugins.go
+++ b/cmd/teasel-node/plugins.go
@@ -13,6 +13,8 @@
 	_ "teaselring/plugins/edgepeers"
 	_ "teaselring/plugins/linkoverlay"
 	_ "teaselring/plugins/membershipview"
+	_ "teaselring/plugins/movesguard"
+	_ "teaselring/plugins/movesholder"
 	_ "teaselring/plugins/nodeidentity"
 	_ "teaselring/plugins/oncekeys"
 	_ "teaselring/plugins/operatorsapi"
--- a/plugins/callrouter/router.go
+++ b/plugins/callrouter/router.go
@@ -126,7 +126,9 @@
 	r.route.Observe(view)
 	var splits *mesh.Splits
 	if r.in.Splits != nil {
-		splits = r.in.Splits.Load()
+		if splits = r.in.Splits.Load(); splits == nil {
+			return mesh.Target{}, result.NoConfiguration.Errorf("the moves in progress are not known yet")
+		}
 	}
 	draw := q.Draw
 	if draw == 0 {
--- a/port/moves.go
+++ b/port/moves.go
@@ -49,3 +49,9 @@
 // HeldMovesRing leads from the holder to the guard duty. A newer state makes
 // an older one useless, so the oldest is replaced.
 type HeldMovesRing = kernel.Ring[HeldMoves]
+
+// VerdictTable is what the pooled evidence says about each current move.
+type VerdictTable struct{ Verdicts []mesh.Verdict }
+
+// VerdictCell is owned by the guard duty; the holder reads it.
+type VerdictCell = kernel.Cell[VerdictTable]
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -84,6 +84,8 @@
 // Moves carries the newest known states of moves.
 type Moves struct {
 	Moves []mesh.Move `cbor:"1,keyasint"`
+	// Request asks the receiver for all states that it knows.
+	Request bool `cbor:"2,keyasint,omitempty"`
 }
 
 // EvidenceReport carries what one node saw of a move.
