--- a/decision/moves/settings.go
+++ b/decision/moves/settings.go
@@ -69,7 +69,7 @@
 	maxReportGap = 10
 	// MinDuration is the shortest time between declaration and target: the
 	// steps and the watch period need at least this much.
-	MinDuration = time.Minute
+	MinDuration = 40 * time.Second
 
 	// coldSpan and coldCalls bound the cold start of an upstream process.
 	// Its first answers are no evidence, except for crashes.
