Test routes with few calls over longer windows and count a crash once

Cause: a window with answers of one version only has no information, so badness of one route was shown late and at different times; nodes counted one crash differently; nodes that had cut could be outvoted by the holder.

--- a/decision/moves/detector.go
+++ b/decision/moves/detector.go
@@ -1,23 +1,30 @@
 package moves
 
+import "teaselring/mesh"
+
 // failureRatios are the alternatives for the failure rate, new over old. The
 // first ones stand for 1% more failures beside an old version that fails too,
 // the last one for failing beside a faultless one.
 var failureRatios = [...]float64{1.4, 2, 4, 12, 60}
 
 const (
-	crashRatio = 30
-	shedRatio  = 4
+	shedRatio = 4
 )
 
 // Weights of the mixture over the properties of one route; their sum is 1.
 const (
-	failureWeight = 0.55
-	slowWeight    = 0.3
-	crashWeight   = 0.1
+	failureWeight = 0.6
+	slowWeight    = 0.35
 	shedWeight    = 0.05
 )
 
+// Weights of the mixture over the tests of a service; their sum is 1.
+const (
+	serviceWeight = 0.45
+	routesWeight  = 0.45
+	crashWeight   = 0.1
+)
+
 // cause names the property that a version is bad by.
 type cause string
 
@@ -30,22 +37,57 @@
 
 // routeTest holds the e-processes of one route, or of all routes together.
 type routeTest struct {
-	total    window // of earlier windows
+	old      mesh.Tally // of earlier windows
+	pending  window     // not tested yet
+	waited   int        // windows that pending holds
 	bounds   [len(slowTails)]boundary
-	shapedAt uint32 // old calls when bounds were chosen
+	weight   float64 // of tests that start with the pending window
+	shapedAt uint32  // old calls when bounds were chosen
 	failures [len(failureRatios)]eProcess
 	slow     [len(slowTails)][2]eProcess
-	crash    eProcess
 	shed     eProcess
 	surge    surge
 }
 
 // update adds a window; weight is that of the tests that start with it.
 func (r *routeTest) update(w *window, weight float64) {
-	if calls := r.total.old.Calls; calls > r.shapedAt+r.shapedAt/reshapePart {
-		r.bounds, r.shapedAt = boundaries(&r.total.old), calls
+	r.weight += weight
+	r.pending.add(w)
+	r.waited++
+	if w.mostlyNew() {
+		var slow slowness
+		slow.set(w)
+		r.surge.update(w, &r.old, &slow, &r.bounds)
+	}
+	if !r.ready() {
+		return
 	}
-	r.surge.update(w, &r.total.old, &r.bounds)
+	r.test(&r.pending, r.weight)
+	addTally(&r.old, &r.pending.old)
+	r.pending, r.waited, r.weight = window{}, 0, 0
+}
+
+// ready reports whether the pending calls are worth a test: with answers of
+// one version only, a window has no information, and the evidence of routes
+// with few calls would be lost. The number of failures has no influence.
+func (r *routeTest) ready() bool {
+	n, o := &r.pending.new, &r.pending.old
+	enough := n.Calls > 0 && o.Calls > 0 && n.Calls+o.Calls >= minWindowCalls
+	return enough || r.waited >= maxWaited
+}
+
+const (
+	minWindowCalls = 10
+	maxWaited      = 5
+)
+
+func (r *routeTest) test(w *window, weight float64) {
+	if calls := r.old.Calls; calls > r.shapedAt+r.shapedAt/reshapePart {
+		r.bounds, r.shapedAt = boundaries(&r.old), calls
+	}
+	var slow slowness
+	slow.set(w)
+	r.surge.learn(w)
 	f := w.failures()
 	for i := range r.failures {
 		r.failures[i].update(f.logRatio(failureRatios[i], 1), weight)
@@ -54,13 +96,11 @@
 		if b.bucket == 0 {
 			continue
 		}
-		h := w.slower(b.bucket)
+		h := slow.from(b.bucket)
 		r.slow[i][0].update(h.logRatio(b.alt, b.null), weight)
 		r.slow[i][1].update(h.logRatio(tailFactor*b.null, b.null), weight)
 	}
-	r.crash.update(w.crashes().logRatio(crashRatio, 1), weight)
 	r.shed.update(w.shed().logRatio(shedRatio, 1), weight)
-	r.total.add(w)
 }
 
 // eValue returns the e-value of the route and the property that adds most.
@@ -72,17 +112,15 @@
 	for i := range r.slow {
 		slow += float64(r.slow[i][0]+r.slow[i][1]) * slowWeight / float64(2*len(r.slow))
 	}
-	crash, shed := float64(r.crash)*crashWeight, float64(r.shed)*shedWeight
-	top, by := failures, byFailures
-	for _, c := range []struct {
-		value float64
-		by    cause
-	}{{slow, bySlowness}, {crash, byCrashes}, {shed, byShedding}} {
-		if c.value > top {
-			top, by = c.value, c.by
-		}
+	shed := float64(r.shed) * shedWeight
+	switch sum := failures + slow + shed; {
+	case slow > failures && slow > shed:
+		return sum, bySlowness
+	case shed > failures:
+		return sum, byShedding
+	default:
+		return sum, byFailures
 	}
-	return failures + slow + crash + shed, by
 }
 
 // detector tests one pool of answers: every route by itself and all of them
@@ -90,6 +128,7 @@
 type detector struct {
 	all      routeTest
 	routes   []routeTest
+	crash    crashTest
 	windows  int
 	restarts int
 	restart  bool // at the next window
@@ -105,6 +144,7 @@
 		weight += restartWeight(d.restarts)
 	}
 	d.all.update(all, weight)
+	d.crash.update(all, weight)
 	for len(d.routes) < len(routes) {
 		d.routes = append(d.routes, routeTest{})
 	}
@@ -120,17 +160,21 @@
 // as a whole, half is shared by the routes, which adjusts for their number.
 func (d *detector) eValue() (value float64, route int, by cause) {
 	value, by = d.all.eValue()
-	value /= 2
+	value *= serviceWeight
 	top, route := value, allRoutes
 	for i := range d.routes {
 		v, c := d.routes[i].eValue()
-		v /= 2 * float64(len(d.routes))
+		v *= routesWeight / float64(len(d.routes))
 		value += v
 		if v > top {
 			top, route, by = v, i, c
 		}
 	}
-	return value, route, by
+	crash := float64(d.crash.test) * crashWeight
+	if crash > top {
+		route, by = allRoutes, byCrashes
+	}
+	return value + crash, route, by
 }
 
 // surging reports whether any route's answers got worse at full share.
--- a/decision/moves/doubt.go
+++ b/decision/moves/doubt.go
@@ -43,7 +43,7 @@
 	if !joins && !p.surging() {
 		return
 	}
-	d.active, d.settled, d.since, d.last, d.before = true, false, now, now, p.sum()
+	d.active, d.settled, d.since, d.last, d.before = true, false, now, now, p.total
 	for i := range p.detectors {
 		p.detectors[i].restart = true
 		p.detectors[i].resetSurge()
@@ -89,7 +89,7 @@
 // always did: whatever made the answers worse at full share is then no common
 // cause, and happening again it counts as badness under load.
 func (d *doubt) noteRelapse(p *Pool) {
-	during := p.sum()
+	during := p.total
 	during.sub(&d.before)
 	if surgedOld(&during, &d.before) {
 		return
@@ -107,11 +107,3 @@
 	h := hits{newHits: float64(during.old.Failures), newCalls: float64(during.old.Calls)}
 	return cusum(0, h, rate, 3, MeasurableExcess) > doubtClear
 }
-
-func (p *Pool) sum() window {
-	var w window
-	for i := range p.totals {
-		w.add(&p.totals[i])
-	}
-	return w
-}
--- a/decision/moves/guard.go
+++ b/decision/moves/guard.go
@@ -132,10 +132,16 @@
 	return reports
 }
 
+// ownInterval is the number of ticks in a window of the node's own evidence,
+// which has few calls in one tick.
+const ownInterval = 5
+
 func (m *guarded) tick(now time.Time) mesh.Evidence {
 	e := m.sampler.report()
-	m.own.Hear(&e)
-	m.own.Close(now)
+	if e.Sequence%ownInterval == 0 {
+		m.own.Hear(&e)
+		m.own.Close(now)
+	}
 	m.pool.Hear(&e)
 	m.pool.Close(now)
 	for _, p := range []*Pool{m.own, m.pool} {
--- a/decision/moves/holder.go
+++ b/decision/moves/holder.go
@@ -55,7 +55,7 @@
 		return row, true
 	case v.Bad:
 		return takingBack(row, v.Reason), true
-	case v.Nodes > 1 && 2*v.Cuts > v.Nodes:
+	case v.Cuts >= agreeingNodes && v.Cuts*cutQuorum >= v.Nodes:
 		return takingBack(row, fmt.Sprintf("%d of %d nodes cut the new version", v.Cuts, v.Nodes)), true
 	case now.After(scheduleOf(&row).latestDone()):
 		return takingBack(row, overdue(s, &row, v)), true
@@ -73,6 +73,11 @@
 	return next, changed
 }
 
+// cutQuorum is the part of the nodes, one in so many, whose own cuts take the
+// move back: what showed the version to be bad to them may not be seen again,
+// because their calls no longer reach it.
+const cutQuorum = 4
+
 func takingBack(row mesh.Move, reason string) mesh.Move {
 	row.Phase, row.Share, row.Reason = mesh.MoveTakingBack, 0, reason
 	return row
@@ -96,7 +101,7 @@
 	plan, index := scheduleOf(&row), rungOf(row.Share)
 	if row.Phase == mesh.MoveWatching {
 		watched := now.Sub(later(since, v.Doubted)) >= plan.minWatch() && !now.Before(plan.finish())
-		if !watched || v.Doubt || v.Good[len(Excesses)-1] < 0 {
+		if !watched || v.Doubt || v.Cuts >= agreeingNodes || v.Good[len(Excesses)-1] < 0 {
 			return row, false
 		}
 		row.Phase, row.Share = mesh.MoveDone, 1
@@ -107,7 +112,7 @@
 	if now.Before(plan.start(index+1)) || index >= 0 && now.Sub(since) < plan.minRung() {
 		return row, false
 	}
-	if v.Doubt || next.excess >= 0 && v.Good[next.excess] < next.evidence*s.fullEvidence() {
+	if v.Doubt || v.Cuts >= agreeingNodes || next.excess >= 0 && v.Good[next.excess] < next.evidence*s.fullEvidence() {
 		return row, false
 	}
 	row.Share, row.Phase = next.share, mesh.MoveShifting
--- a/decision/moves/latency.go
+++ b/decision/moves/latency.go
@@ -43,17 +43,12 @@
 // answers of the old version in earlier windows.
 func boundaries(old *mesh.Tally) [len(slowTails)]boundary {
 	var found [len(slowTails)]boundary
-	var total float64
-	for _, n := range old.Latency {
-		total += float64(n)
-	}
+	var above above
+	above.set(old)
+	total := above[0]
 	if total < minShapeCalls {
 		return found
 	}
-	var above [mesh.LatencyBuckets + 1]float64
-	for i := mesh.LatencyBuckets - 1; i >= 0; i-- {
-		above[i] = above[i+1] + float64(old.Latency[i])
-	}
 	last := 0
 	for i, tail := range slowTails {
 		b := firstSlowBucket
--- a/decision/moves/pool.go
+++ b/decision/moves/pool.go
@@ -40,9 +40,10 @@
 	names     []mesh.RouteID
 	pending   []groupWindow
 	detectors []detector // detector i leaves out group i
-	totals    []window   // of each route, for reasons
-	sums      []window   // of all groups; kept between windows to save allocations
-	rest      []window   // of all groups but one; likewise
+	total     window
+	totals    []window // of each route, for reasons
+	sums      []window // of all groups; kept between windows to save allocations
+	rest      []window // of all groups but one; likewise
 	good      goodness
 	doubt     doubt
 	grouped   bool
@@ -52,12 +53,14 @@
 
 type reporter struct {
 	group  int
+	routes []int // index in the pool of each route of its reports
 	latest mesh.Evidence
 }
 
 type groupWindow struct {
 	routes []window
-	used   bool // the group has reported at some time
+	all    window // sum of routes, when the window closes
+	used   bool   // the group has reported at some time
 }
 
 // NewPool returns an empty pool for the evidence of all nodes.
@@ -94,17 +97,18 @@
 	if !p.grouped && hasNew(e) {
 		p.group()
 	}
-	p.addGrowth(&p.pending[r.group], e, &before)
+	p.addGrowth(r, e, &before)
 }
 
-func (p *Pool) addGrowth(g *groupWindow, e, before *mesh.Evidence) {
+func (p *Pool) addGrowth(r *reporter, e, before *mesh.Evidence) {
+	g := &p.pending[r.group]
 	g.used = true
 	for i := range e.Routes {
 		c, b := &e.Routes[i], &noComparison
 		if earlier := comparison(before, c.Route, i); earlier != nil {
 			b = earlier
 		}
-		at := p.route(c.Route, i)
+		at := p.route(r, c.Route, i)
 		for len(g.routes) <= at {
 			g.routes = append(g.routes, window{})
 		}
@@ -159,10 +163,11 @@
 	return nil
 }
 
-// route returns the index of a route; most reports list routes in one order.
-func (p *Pool) route(id mesh.RouteID, hint int) int {
-	if hint < len(p.names) && p.names[hint] == id {
-		return hint
+// route returns the index of the route at a place in a node's reports. A node
+// adds routes at the end, so most are known by their place.
+func (p *Pool) route(r *reporter, id mesh.RouteID, place int) int {
+	if place < len(r.routes) && p.names[r.routes[place]] == id {
+		return r.routes[place]
 	}
 	i, known := p.routes[id]
 	if !known {
@@ -170,39 +175,50 @@
 		p.routes[id] = i
 		p.names = append(p.names, id)
 	}
+	if place == len(r.routes) {
+		r.routes = append(r.routes, i)
+	}
 	return i
 }
 
 // Close ends a window: what was heard since the last call is tested.
 func (p *Pool) Close(now time.Time) {
 	p.sums = cleared(p.sums, len(p.names))
-	routes, used := p.sums, 0
+	var all window
+	used := 0
 	for g := range p.pending {
-		for i := range p.pending[g].routes {
-			routes[i].add(&p.pending[g].routes[i])
+		w := &p.pending[g]
+		w.all = window{}
+		for i := range w.routes {
+			w.all.add(&w.routes[i])
+			p.sums[i].add(&w.routes[i])
 		}
-		if p.pending[g].used {
+		all.add(&w.all)
+		if w.used {
 			used++
 		}
 	}
-	for len(p.totals) < len(routes) {
-		p.totals = append(p.totals, window{})
+	p.good.update(&all, p.countable(&all, used), &p.total.old)
+	for d := range p.detectors {
+		p.test(d, all, used)
 	}
-	earlier := p.sum()
-	var all window
-	for i := range routes {
-		p.totals[i].add(&routes[i])
-		all.add(&routes[i])
+	p.account(&all)
+	p.judge()
+	p.doubt.step(p, now)
+}
+
+// account adds the window to the totals and empties it.
+func (p *Pool) account(all *window) {
+	for len(p.totals) < len(p.sums) {
+		p.totals = append(p.totals, window{})
 	}
-	p.good.update(&all, p.countable(&all, used), &earlier.old)
-	for d := range p.detectors {
-		p.test(d, routes, used)
+	for i := range p.sums {
+		p.totals[i].add(&p.sums[i])
 	}
+	p.total.add(all)
 	for g := range p.pending {
 		clear(p.pending[g].routes)
 	}
-	p.judge()
-	p.doubt.step(p, now)
 }
 
 // countable is how many calls of the new version count for it: at most twice
@@ -213,11 +229,7 @@
 	}
 	var largest uint32
 	for g := range p.pending {
-		var n uint32
-		for i := range p.pending[g].routes {
-			n += p.pending[g].routes[i].new.Calls
-		}
-		largest = max(largest, n)
+		largest = max(largest, p.pending[g].all.new.Calls)
 	}
 	return 2 * float64(all.new.Calls-largest)
 }
@@ -233,19 +245,17 @@
 }
 
 // test gives detector d the window of all groups but group d.
-func (p *Pool) test(d int, routes []window, used int) {
-	p.rest = append(p.rest[:0], routes...)
-	rest := p.rest
-	if used >= minGroups {
-		for i := range p.pending[d].routes {
-			rest[i].sub(&p.pending[d].routes[i])
-		}
+func (p *Pool) test(d int, all window, used int) {
+	if used < minGroups {
+		p.detectors[d].update(&all, p.sums)
+		return
 	}
-	var all window
-	for i := range rest {
-		all.add(&rest[i])
+	p.rest = append(p.rest[:0], p.sums...)
+	for i := range p.pending[d].routes {
+		p.rest[i].sub(&p.pending[d].routes[i])
 	}
-	p.detectors[d].update(&all, rest)
+	all.sub(&p.pending[d].all)
+	p.detectors[d].update(&all, p.rest)
 }
 
 func (p *Pool) judge() {
@@ -276,12 +286,8 @@
 // describe names the counts behind a verdict for operators.
 func (p *Pool) describe(route int, by cause) string {
 	name := "all routes"
-	var w window
-	if route == allRoutes {
-		for i := range p.totals {
-			w.add(&p.totals[i])
-		}
-	} else {
+	w := p.total
+	if route != allRoutes {
 		name, w = fmt.Sprintf("route %q", p.names[route]), p.totals[route]
 	}
 	count := func(t *mesh.Tally) uint32 {
@@ -307,9 +313,7 @@
 	v := mesh.Verdict{Bad: p.shown, Reason: p.reason, Nodes: len(p.nodes)}
 	v.Doubt, v.Doubted = p.doubt.active || p.doubting() >= agreeingNodes, p.doubt.last
 	v.Good = p.good.nats
-	for i := range p.totals {
-		v.Calls += p.totals[i].new.Calls
-	}
+	v.Calls = p.total.new.Calls
 	v.Cuts = p.cuts()
 	return v
 }
--- a/decision/moves/surge.go
+++ b/decision/moves/surge.go
@@ -26,23 +26,31 @@
 	minRefRate  = 0.002
 )
 
-func (s *surge) update(w *window, old *mesh.Tally, bounds *[len(slowTails)]boundary) {
-	if w.old.Calls > 0 {
-		keep := math.Exp(-float64(w.old.Calls) / recentCalls)
-		rate := float64(w.old.Failures) / float64(w.old.Calls)
-		if !s.known {
-			s.recent, s.known = rate, true
-		}
-		s.recent = keep*s.recent + (1-keep)*rate
-	}
-	if float64(w.new.Calls) < doubtFrom*float64(w.new.Calls+w.old.Calls) || w.new.Calls == 0 {
+// learn takes the old version's rate from a window.
+func (s *surge) learn(w *window) {
+	if w.old.Calls == 0 {
 		return
 	}
+	keep := math.Exp(-float64(w.old.Calls) / recentCalls)
+	rate := float64(w.old.Failures) / float64(w.old.Calls)
+	if !s.known {
+		s.recent, s.known = rate, true
+	}
+	s.recent = keep*s.recent + (1-keep)*rate
+}
+
+// mostlyNew reports whether too few calls went to the old version.
+func (w *window) mostlyNew() bool {
+	return w.new.Calls > 0 && float64(w.new.Calls) >= doubtFrom*float64(w.new.Calls+w.old.Calls)
+}
+
+// update adds a window in which most calls went to the new version.
+func (s *surge) update(w *window, old *mesh.Tally, slow *slowness, bounds *[len(slowTails)]boundary) {
 	s.failures = cusum(s.failures, w.failures(), s.reference(old), 3, MeasurableExcess)
 	for i, b := range bounds {
 		if b.bucket != 0 {
 			rate := math.Min(b.tail*b.null, 0.6)
-			s.slow[i] = cusum(s.slow[i], w.slower(b.bucket), rate, math.Min(b.alt/b.null, 1/rate), 0)
+			s.slow[i] = cusum(s.slow[i], slow.from(b.bucket), rate, math.Min(b.alt/b.null, 1/rate), 0)
 		}
 	}
 }
--- a/decision/moves/tally.go
+++ b/decision/moves/tally.go
@@ -51,15 +51,6 @@
 	subTally(&w.new, &o.new)
 }
 
-// crashes counts a window with any crash once: the calls that one crash ends
-// are reported by every node that had sent one.
-func (w *window) crashes() hits {
-	return hits{
-		newHits: float64(min(w.new.Crashes, 1)), newCalls: float64(w.new.Calls),
-		oldHits: float64(min(w.old.Crashes, 1)), oldCalls: float64(w.old.Calls),
-	}
-}
-
 func (w *window) failures() hits {
 	return hits{
 		newHits: float64(w.new.Failures), newCalls: float64(w.new.Calls),
@@ -79,17 +70,27 @@
 	}
 }
 
-// slower counts the answers of bucket and above.
-func (w *window) slower(bucket int) hits {
-	var h hits
-	for i := range w.new.Latency {
-		n, o := float64(w.new.Latency[i]), float64(w.old.Latency[i])
-		h.newCalls += n
-		h.oldCalls += o
-		if i >= bucket {
-			h.newHits += n
-			h.oldHits += o
-		}
+// above holds, for each bucket, the answers of that bucket and above.
+type above [mesh.LatencyBuckets + 1]float64
+
+func (a *above) set(t *mesh.Tally) {
+	for i := mesh.LatencyBuckets - 1; i >= 0; i-- {
+		a[i] = a[i+1] + float64(t.Latency[i])
+	}
+}
+
+// slowness is both versions' answers of one window.
+type slowness struct{ old, new above }
+
+func (s *slowness) set(w *window) {
+	s.old.set(&w.old)
+	s.new.set(&w.new)
+}
+
+// from counts the answers of bucket and above.
+func (s *slowness) from(bucket int) hits {
+	return hits{
+		newHits: s.new[bucket], newCalls: s.new[0],
+		oldHits: s.old[bucket], oldCalls: s.old[0],
 	}
-	return h
 }
--- a/test/measure/moves/baseline.go
+++ b/test/measure/moves/baseline.go
@@ -13,6 +13,7 @@
 	threshold float64 // 0: none
 	duration  time.Duration
 	services  map[mesh.ServiceID]*steps
+	list      []*steps
 }
 
 // steps is the state of one move.
@@ -35,13 +36,17 @@
 func newBaseline(sc *scenario, threshold float64) *baseline {
 	b := &baseline{threshold: threshold, duration: sc.Duration.Duration, services: map[mesh.ServiceID]*steps{}}
 	for i := range sc.Service {
-		b.services[newFleetID(i)] = &steps{}
+		s := &steps{}
+		b.services[newFleetID(i)] = s
+		b.list = append(b.list, s)
 	}
 	return b
 }
 
-func (b *baseline) share(_ int, svc mesh.ServiceID, t time.Duration) float64 {
-	s := b.services[svc]
+func (b *baseline) usesLatency() bool { return false }
+
+func (b *baseline) share(_, svc int, t time.Duration) float64 {
+	s := b.list[svc]
 	if s.back != 0 && t >= s.back+rowDelay {
 		return 0
 	}
--- a/test/measure/moves/control.go
+++ b/test/measure/moves/control.go
@@ -18,7 +18,7 @@
 type decided struct {
 	rng      *rand.Rand
 	guards   []*moves.Guard
-	splits   []mesh.Splits
+	shares   [][]float64 // of each node and service
 	settings moves.Settings
 	holders  map[mesh.ServiceID]*held
 	order    []mesh.ServiceID
@@ -45,11 +45,12 @@
 	d := &decided{
 		settings: s,
 		rng:      rand.New(rand.NewPCG(seed, 0x6c696e6b73)),
-		holders:  map[mesh.ServiceID]*held{}, splits: make([]mesh.Splits, sc.Nodes),
+		holders:  map[mesh.ServiceID]*held{}, shares: make([][]float64, sc.Nodes),
 		mail: make([][linkDelay + 1]parcel, sc.Nodes),
 	}
 	for i := range sc.Nodes {
 		d.guards = append(d.guards, moves.NewGuard(s, nodeName(i), 1))
+		d.shares[i] = make([]float64, len(sc.Service))
 	}
 	for i := range sc.Service {
 		id := newFleetID(i)
@@ -67,9 +68,9 @@
 	return d
 }
 
-func (d *decided) share(node int, svc mesh.ServiceID, _ time.Duration) float64 {
-	return d.splits[node].ByService[svc].Share
-}
+func (d *decided) share(node, svc int, _ time.Duration) float64 { return d.shares[node][svc] }
+
+func (d *decided) usesLatency() bool { return true }
 
 func (d *decided) observe(node int, o *mesh.Outcome, t time.Duration) {
 	d.guards[node].Observe(o, epoch.Add(t))
@@ -97,7 +98,10 @@
 			changed = true
 		}
 		if changed {
-			d.splits[n] = g.Splits(now)
+			splits := g.Splits(now).ByService
+			for i, id := range d.order {
+				d.shares[n][i] = splits[id].Share
+			}
 		}
 	}
 	if d.ticks%10 == 5 && platformUp {
--- a/test/measure/moves/main.go
+++ b/test/measure/moves/main.go
@@ -183,8 +183,8 @@
 	for n, results := range s.results {
 		for i := range results {
 			if o := &results[i]; !o.right() {
-				fmt.Fprintf(os.Stderr, "%s %s seed %d service %d: bad=%v done=%v taken back=%v first bad=%v: %s\n",
-					s.deployment, s.sc.Name, n, i, o.bad, o.done, o.takenBack, o.firstBad.Round(time.Second), o.reason)
+				fmt.Fprintf(os.Stderr, "%s %s %s seed %d service %d: bad=%v done=%v taken back=%v first bad=%v: %s\n",
+					s.control, s.deployment, s.sc.Name, n, i, o.bad, o.done, o.takenBack, o.firstBad.Round(time.Second), o.reason)
 			}
 		}
 	}
--- a/test/measure/moves/upstream.go
+++ b/test/measure/moves/upstream.go
@@ -45,7 +45,10 @@
 	badFrom  time.Duration
 	badRoute int
 	overFrom time.Duration
-	changed  bool // some process is new
+	changed  bool         // some process is new
+	timed    bool         // answers need a duration
+	reported mesh.Load    // of the last call; no receiver keeps it
+	outcome  mesh.Outcome // of the last call; likewise
 	share    float64
 }
 
@@ -127,10 +130,11 @@
 func (f *fleet) run(v, route int, t time.Duration, outage float64, rng *rand.Rand) mesh.Outcome {
 	f.second[v]++
 	u := f.pick(v, t, rng)
+	f.reported = mesh.Load{InFlight: int(f.load[v] * float64(f.dep.Slots)), Limit: f.dep.Slots}
 	o := mesh.Outcome{
 		Target: mesh.Target{Node: u.node, Service: f.id, Version: [2]mesh.UpstreamVersion{oldVersion, newVersion}[v]},
 		Route:  f.routes[route], Status: 200,
-		Load: &mesh.Load{InFlight: int(f.load[v] * float64(f.dep.Slots)), Limit: f.dep.Slots},
+		Load: &f.reported,
 	}
 	if t < u.downTill {
 		o.Status, o.Failed, o.Code, o.Load = 0, true, result.ConnectFailed.Number, nil
@@ -156,6 +160,9 @@
 	if rng.Float64() < fail {
 		o.Status, o.Failed = 500, true
 	}
+	if !f.timed {
+		return o
+	}
 	queueing := 1 + 0.3*min(load, 1)
 	if load > 0.85 {
 		queueing *= 2
--- a/test/measure/moves/world.go
+++ b/test/measure/moves/world.go
@@ -18,10 +18,12 @@
 // control is what decides about the shares: the code under test or a baseline.
 type control interface {
 	// share is the new version's share at a node.
-	share(node int, svc mesh.ServiceID, t time.Duration) float64
+	share(node, svc int, t time.Duration) float64
 	observe(node int, o *mesh.Outcome, t time.Duration)
 	members(view *mesh.View, t time.Duration)
 	tick(t time.Duration, platformUp bool)
+	// usesLatency is false when outcomes need no duration, which saves time.
+	usesLatency() bool
 	// state of the move of a service: when it was done, and when it was
 	// taken back or first cut by any node; 0 when it was not.
 	done(svc mesh.ServiceID) time.Duration
@@ -59,7 +61,9 @@
 func newWorld(sc *scenario, dep *deployment, c control, seed uint64) *world {
 	w := &world{sc: sc, rng: rand.New(rand.NewPCG(seed, 0x6d6f766573)), control: c}
 	for i := range sc.Service {
-		w.fleets = append(w.fleets, newFleet(sc, i, dep, w.rng))
+		f := newFleet(sc, i, dep, w.rng)
+		f.timed = c.usesLatency()
+		w.fleets = append(w.fleets, f)
 		w.moves = append(w.moves, outcome{
 			bad: sc.Service[i].Bad != nil, target: sc.Duration.Duration,
 			expectedLoad: sc.Service[i].Rate * sc.Duration.Seconds(),
@@ -147,10 +151,11 @@
 func (w *world) call(i int, t time.Duration) bool {
 	f, m := w.fleets[i], &w.moves[i]
 	node, v := w.rng.IntN(w.sc.Nodes), 0
-	if w.rng.Float64() < w.control.share(node, f.id, t) {
+	if w.rng.Float64() < w.control.share(node, i, t) {
 		v = 1
 	}
-	o := f.run(v, f.route(w.rng), t, w.outage(t), w.rng)
+	o := &f.outcome
+	*o = f.run(v, f.route(w.rng), t, w.outage(t), w.rng)
 	if !o.Failed && !o.Shed && i+1 < len(w.fleets) && w.rng.Float64() < f.svc.CallsOther {
 		if !w.call(i+1, t) {
 			o.Failed, o.Status = true, 500
@@ -158,17 +163,17 @@
 	}
 	m.calls++
 	if v == 1 {
-		w.note(m, f, &o, t)
+		w.note(m, f, t)
 	}
-	w.control.observe(node, &o, t)
+	w.control.observe(node, o, t)
 	if o.Crashed {
-		w.crashOthers(f, &o, t)
+		w.crashOthers(f, t)
 	}
 	return !o.Failed && !o.Shed
 }
 
 // note counts a call to the new version while that is bad.
-func (w *world) note(m *outcome, f *fleet, o *mesh.Outcome, t time.Duration) {
+func (w *world) note(m *outcome, f *fleet, t time.Duration) {
 	if !f.isBad(t) && m.firstBad == 0 {
 		return
 	}
@@ -182,10 +187,9 @@
 }
 
 // crashOthers tells the other entry nodes with calls in flight of the crash.
-func (w *world) crashOthers(f *fleet, o *mesh.Outcome, t time.Duration) {
-	for range w.rng.IntN(o.Load.InFlight + 2) {
-		other := *o
-		w.control.observe(w.rng.IntN(w.sc.Nodes), &other, t)
+func (w *world) crashOthers(f *fleet, t time.Duration) {
+	for range w.rng.IntN(f.reported.InFlight + 2) {
+		w.control.observe(w.rng.IntN(w.sc.Nodes), &f.outcome, t)
 	}
 }
 
