--- a/decision/moves/goodness.go
+++ b/decision/moves/goodness.go
@@ -21,6 +21,10 @@
 	// maxGoodness bounds what a version can gather in advance, so that it
 	// loses the evidence soon when it turns bad.
 	maxGoodness = 12
+	// A burst is more than minBurst failures beyond burstFactor times the
+	// expected ones, which chance brings about in fewer than 1 of 100 windows.
+	minBurst    = 3
+	burstFactor = 4
 	minRate     = 0.0005 // assumed lower bound of a failure rate
 )
 
@@ -30,8 +34,7 @@
 	if w.new.Calls == 0 || w.old.Calls == 0 {
 		return
 	}
-	prior := (float64(earlier.Failures) + minRate*priorCalls) / (float64(earlier.Calls) + priorCalls)
-	rate := (float64(w.old.Failures) + prior*priorCalls) / (float64(w.old.Calls) + priorCalls)
+	rate := oldRate(&w.old, earlier)
 	for i, excess := range Excesses {
 		gain := math.Min(float64(w.new.Calls), limit) * excess
 		if w.new.Failures > 0 {
@@ -42,6 +45,18 @@
 	}
 }
 
+// oldRate estimates the old version's failure rate in a window from that
+// window and earlier ones. A burst of failures, such as in an outage, says that
+// the earlier ones don't matter now.
+func oldRate(now, earlier *mesh.Tally) float64 {
+	failures, calls := float64(now.Failures), float64(now.Calls)
+	prior := (float64(earlier.Failures) + minRate*priorCalls) / (float64(earlier.Calls) + priorCalls)
+	if failures > minBurst+burstFactor*prior*calls {
+		return failures / calls
+	}
+	return (failures + prior*priorCalls) / (calls + priorCalls)
+}
+
 func (g *goodness) resetFresh() { g.fresh = [len(Excesses)]float64{} }
 
 // clear reports whether the calls since the last reset show that the versions
--- a/decision/moves/pool.go
+++ b/decision/moves/pool.go
@@ -204,7 +204,9 @@
 	}
 	p.account(&all)
 	p.judge()
-	p.doubt.step(p, now)
+	if len(p.detectors) > 1 { // a node's own share alone changes no load
+		p.doubt.step(p, now)
+	}
 }
 
 // account adds the window to the totals and empties it.
