--- a/decision/moves/holder.go
+++ b/decision/moves/holder.go
@@ -57,15 +57,15 @@
 		return takingBack(row, v.Reason), true
 	case v.Cuts >= agreeingNodes && v.Cuts*cutQuorum >= v.Nodes:
 		return takingBack(row, fmt.Sprintf("%d of %d nodes cut the new version", v.Cuts, v.Nodes)), true
-	case now.After(scheduleOf(&row).latestDone()):
+	case now.After(s.schedule(&row).latestDone()):
 		return takingBack(row, overdue(s, &row, v)), true
 	}
 	next, changed := advance(s, row, v, since, now)
 	if changed {
 		since = now
 	}
-	if earliest := scheduleOf(&next).earliest(rungOf(next.Share), since, now); !next.Late &&
-		!next.Phase.Ended() && earliest.After(scheduleOf(&next).latestDone()) {
+	if earliest := s.schedule(&next).earliest(rungOf(next.Share), since, now); !next.Late &&
+		!next.Phase.Ended() && earliest.After(s.schedule(&next).latestDone()) {
 		next.Late = true
 		next.Reason = "can't be done by the target time: " + missing(s, v)
 		return next, true
@@ -98,7 +98,7 @@
 // advance raises the share by one rung or finishes the move, when the
 // schedule calls for it and the evidence allows it.
 func advance(s Settings, row mesh.Move, v *mesh.Verdict, since, now time.Time) (mesh.Move, bool) {
-	plan, index := scheduleOf(&row), rungOf(row.Share)
+	plan, index := s.schedule(&row), rungOf(row.Share)
 	if row.Phase == mesh.MoveWatching {
 		watched := now.Sub(later(since, v.Doubted)) >= plan.minWatch() && !now.Before(plan.finish())
 		if !watched || v.Doubt || v.Cuts >= agreeingNodes || v.Good[len(Excesses)-1] < 0 {
--- a/decision/moves/schedule.go
+++ b/decision/moves/schedule.go
@@ -42,17 +42,23 @@
 	minRungPart  = 0.03
 	minWatchPart = 0.08
 	minRungSpan  = 3 * time.Second
-	minWatchSpan = 15 * time.Second
+	// DefaultMinWatch is the least watch period when Settings name none.
+	DefaultMinWatch = 15 * time.Second
 )
 
 // schedule places the steps of one move in time.
 type schedule struct {
-	target   time.Time
-	duration time.Duration
+	target       time.Time
+	duration     time.Duration
+	minWatchSpan time.Duration
 }
 
-func scheduleOf(row *mesh.Move) schedule {
-	return schedule{target: row.Target, duration: row.Target.Sub(row.Declared)}
+func (s Settings) schedule(row *mesh.Move) schedule {
+	span := s.MinWatch
+	if span == 0 {
+		span = DefaultMinWatch
+	}
+	return schedule{target: row.Target, duration: row.Target.Sub(row.Declared), minWatchSpan: span}
 }
 
 func (s schedule) part(p float64) time.Duration { return time.Duration(p * float64(s.duration)) }
@@ -70,7 +76,7 @@
 }
 
 func (s schedule) minRung() time.Duration  { return max(s.part(minRungPart), minRungSpan) }
-func (s schedule) minWatch() time.Duration { return max(s.part(minWatchPart), minWatchSpan) }
+func (s schedule) minWatch() time.Duration { return max(s.part(minWatchPart), s.minWatchSpan) }
 
 // earliest is the first time at which a move on a rung since some time can be
 // done if nothing but time is missing.
--- a/decision/moves/settings.go
+++ b/decision/moves/settings.go
@@ -14,6 +14,9 @@
 	// Weight is the cost of missing a bad version divided by the cost of
 	// delaying a good one.
 	Weight float64
+	// MinWatch is the least time at full share before a move is done; 0 stands
+	// for DefaultMinWatch.
+	MinWatch time.Duration
 }
 
 // Weights of the two sample deployments. The sock office counts a late move
--- a/plugins/movesguard/setup.go
+++ b/plugins/movesguard/setup.go
@@ -16,8 +16,9 @@
 
 // Settings are the table [moves.guard] of a settings file.
 type Settings struct {
-	Weight float64         `toml:"weight" comment:"cost of missing a bad version divided by the cost of delaying a good one, 0.1 to 100; sock office 1, licence mesh 10"`
-	Window kernel.Duration `toml:"window" comment:"length of a window of evidence, 100ms to 10s"`
+	Weight   float64         `toml:"weight" comment:"cost of missing a bad version divided by the cost of delaying a good one, 0.1 to 100; sock office 1, licence mesh 10"`
+	MinWatch kernel.Duration `toml:"min_watch" comment:"least time at full share before a move is done, 3s to 24h"`
+	Window   kernel.Duration `toml:"window" comment:"length of a window of evidence, 100ms to 10s"`
 }
 
 // Validate checks the ranges.
@@ -25,6 +26,9 @@
 	if err := kernel.InRange("weight", s.Weight, 0.1, 100); err != nil {
 		return err
 	}
+	if err := kernel.SpanInRange("min_watch", s.MinWatch, 3*time.Second, 24*time.Hour); err != nil {
+		return err
+	}
 	return kernel.SpanInRange("window", s.Window, 100*time.Millisecond, 10*time.Second)
 }
 
@@ -33,7 +37,9 @@
 		Name: "moves.guard",
 		Doc:  "Divides calls between old and new versions and cuts a bad version by itself.",
 		Settings: func() kernel.Validator {
-			return &Settings{Weight: moves.SockOffice.Weight, Window: kernel.Span(time.Second)}
+			return &Settings{
+				Weight: moves.SockOffice.Weight, MinWatch: kernel.Span(moves.DefaultMinWatch), Window: kernel.Span(time.Second),
+			}
 		},
 		Module: module,
 	})
@@ -42,7 +48,7 @@
 func module(v kernel.Validator) fx.Option {
 	s := v.(*Settings)
 	return fx.Options(
-		fx.Supply(moves.Settings{Weight: s.Weight}),
+		fx.Supply(moves.Settings{Weight: s.Weight, MinWatch: s.MinWatch.Duration}),
 		fx.Provide(
 			func() *port.SplitsCell { return new(port.SplitsCell) },
 			func() *port.MovesCell { return new(port.MovesCell) },
