Run the guard and the holder of moves as duties

Cause: the decisions about moves need the calls, links and rows of a node. Change: plug-ins moves.guard and moves.holder; port.VerdictsCell; the guard forgets ended moves that a later one replaced; leases are taken in turn by rendezvous rank; a row for each service lets one of two declarations win.

--- a/decision/moves/guard.go
+++ b/decision/moves/guard.go
@@ -57,15 +57,32 @@
 			m = g.guard(row)
 		}
 		m.row, m.heard = *row, now
-		if a := g.active[row.Service]; a == nil || a == m || m.supersedes(a) {
-			g.active[row.Service] = m
+		if g.activate(m) {
+			m.settle(now)
+			changed = true
 		}
-		m.settle(now)
-		changed = true
 	}
 	return changed
 }
 
+// activate makes m the move of its service unless a later one is known, and
+// forgets an ended move that is not. It reports whether m was kept.
+func (g *Guard) activate(m *guarded) bool {
+	before := g.active[m.row.Service]
+	if before != nil && before != m && !m.supersedes(before) {
+		if m.row.Phase.Ended() {
+			delete(g.moves, m.row.ID)
+			return false
+		}
+		return true
+	}
+	g.active[m.row.Service] = m
+	if before != nil && before != m && before.row.Phase.Ended() {
+		delete(g.moves, before.row.ID)
+	}
+	return true
+}
+
 func (g *Guard) guard(row *mesh.Move) *guarded {
 	m := &guarded{
 		sampler: newSampler(row.ID, g.self, g.life),
@@ -110,11 +127,10 @@
 	return len(m.row.Routes) == 0 || slices.Contains(m.row.Routes, route)
 }
 
-// Hear takes the evidence of another node.
-func (g *Guard) Hear(e *mesh.Evidence) {
-	if m := g.moves[e.Move]; m != nil && e.Node != g.self {
-		m.pool.Hear(e)
-	}
+// Hear takes the evidence of another node. It reports whether it was new.
+func (g *Guard) Hear(e *mesh.Evidence) bool {
+	m := g.moves[e.Move]
+	return m != nil && e.Node != g.self && m.pool.Hear(e)
 }
 
 // Tick ends a window of evidence, decides on cuts and returns this node's
--- a/decision/moves/lease.go
+++ b/decision/moves/lease.go
@@ -1,6 +1,7 @@
 package moves
 
 import (
+	"hash/fnv"
 	"time"
 
 	"teaselring/mesh"
@@ -17,6 +18,41 @@
 	return row.Holder == "" || now.After(row.LeaseUntil.Add(maxClockSkew))
 }
 
+// takeSpacing is the time between the attempts of two nodes to take a lease.
+// It covers a write to the platform and the spread of the row.
+const takeSpacing = 2 * time.Second
+
+// MayTakeInTurn is MayTake for the node with a rank among those that know the
+// move: lower ranks go first, so that few nodes write at once.
+func MayTakeInTurn(row *mesh.Move, node mesh.NodeID, rank int, now time.Time) bool {
+	return MayTake(row, node, now.Add(-time.Duration(rank)*takeSpacing)) &&
+		!now.Before(row.Declared.Add(time.Duration(rank)*takeSpacing))
+}
+
+// Rank orders the live nodes for a move by rendezvous hashing and returns the
+// place of node, from 0. Nodes with different views agree on all but a few.
+func Rank(id mesh.MoveID, node mesh.NodeID, view *mesh.View) int {
+	own, rank := weightOf(id, node), 0
+	for i := range view.Members {
+		m := &view.Members[i]
+		if m.State != mesh.NodeAlive || m.Node == node {
+			continue
+		}
+		if w := weightOf(id, m.Node); w > own || w == own && m.Node < node {
+			rank++
+		}
+	}
+	return rank
+}
+
+func weightOf(id mesh.MoveID, node mesh.NodeID) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(node))
+	return h.Sum64()
+}
+
 // Take returns the row with node as its holder and the next epoch. A node
 // that restarts takes its own lease again: the epoch tells its lives apart.
 func Take(row *mesh.Move, node mesh.NodeID, now time.Time) (mesh.Move, error) {
--- a/decision/moves/pool.go
+++ b/decision/moves/pool.go
@@ -75,8 +75,9 @@
 }
 
 // Hear adds a report. Reports that are not newer than one of the same node
-// are ignored, so repeated and crossing messages do no harm.
-func (p *Pool) Hear(e *mesh.Evidence) {
+// are ignored, so repeated and crossing messages do no harm. It reports whether
+// the report was newer.
+func (p *Pool) Hear(e *mesh.Evidence) bool {
 	r := p.nodes[e.Node]
 	if r == nil {
 		r = &reporter{group: p.hashGroup(e.Node)}
@@ -85,19 +86,20 @@
 	before := r.latest
 	if e.Incarnation < before.Incarnation ||
 		e.Incarnation == before.Incarnation && e.Sequence <= before.Sequence {
-		return
+		return false
 	}
 	if e.Incarnation > before.Incarnation {
 		before = mesh.Evidence{}
 	}
 	r.latest = *e
 	if e.Sequence-before.Sequence > maxReportGap {
-		return
+		return true
 	}
 	if !p.grouped && hasNew(e) {
 		p.group()
 	}
 	p.addGrowth(r, e, &before)
+	return true
 }
 
 func (p *Pool) addGrowth(r *reporter, e, before *mesh.Evidence) {
--- /dev/null
+++ b/plugins/movesguard/movesguard_suite_test.go
@@ -0,0 +1,13 @@
+package movesguard
+
+import (
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+)
+
+func TestMovesGuard(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "moves.guard")
+}
--- /dev/null
+++ b/plugins/movesholder/movesholder_suite_test.go
@@ -0,0 +1,13 @@
+package movesholder
+
+import (
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+)
+
+func TestMovesHolder(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "moves.holder")
+}
--- a/port/moves.go
+++ b/port/moves.go
@@ -49,3 +49,17 @@
 // HeldMovesRing leads from the holder to the guard duty. A newer state makes
 // an older one useless, so the oldest is replaced.
 type HeldMovesRing = kernel.Ring[HeldMoves]
+
+// VerdictTable is what the pooled evidence says about each current move.
+type VerdictTable struct{ Verdicts []mesh.Verdict }
+
+// VerdictsCell is owned by the guard duty; the holder reads it.
+type VerdictsCell = kernel.Cell[VerdictTable]
+
+// MoveTableName is the platform table of the rows of moves; a key is a move's
+// id, a value its mesh.Move in JSON.
+const MoveTableName = "moves"
+
+// MoveServiceTable is the platform table that names the newest move of each
+// service, so that two moves of one service can't be declared at once.
+const MoveServiceTable = "moves_by_service"
