--- a/plugins/movesguard/guard.go
+++ b/plugins/movesguard/guard.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/phuslu/log"
+	"go.uber.org/fx"
+
 	"teaselring/decision/moves"
 	"teaselring/kernel"
 	"teaselring/mesh"
@@ -11,153 +14,160 @@
 	"teaselring/wire"
 )
 
-// guard owns the local evidence and the division of calls.
-type guard struct {
-	in     dutyIn
-	window time.Duration
-	guard  *moves.Guard // nil until the view shows this life of the node
-	heard  map[reporter]uint64
-	ticks  int
+type deps struct {
+	fx.In
+	Settings *Settings
+	Logger   *log.Logger
+	View     *port.ViewCell
+	Samples  *port.SampleRing
+	Inbox    *port.MovesInbox
+	Held     *port.HeldMovesRing
+	Push     *port.PushRing
+	Splits   *port.SplitsCell
+	Moves    *port.MovesCell
+	Evidence *port.EvidenceCell
+	Verdicts *port.VerdictsCell
+}
+
+// duty owns the guard. It never waits for anything but its rings and its
+// ticker, so a slow platform or link can't delay a cut.
+type duty struct {
+	deps
+	guard *moves.Guard // nil until the node knows itself
+	self  mesh.NodeID
+	view  *mesh.View
+	cut   map[mesh.MoveID]bool // cuts that were logged
+	ticks int
 	// synced is set once the moves of the mesh are known. Splits are published
 	// only then: a node that has just started must not send calls to a version
 	// that was taken back.
 	synced bool
-	alone  int // ticks without any other live member
-}
-
-// reporter identifies the series of reports of one life of a node on a move.
-type reporter struct {
-	move        mesh.MoveID
-	node        mesh.NodeID
-	incarnation mesh.Incarnation
+	alone  int // ticks without another live member
 }
 
-func newDuty(s *Settings, in dutyIn) kernel.Duty {
-	g := &guard{in: in, window: s.Window.Duration, heard: map[reporter]uint64{}}
+func newDuty(d deps) kernel.Duty {
+	g := &duty{deps: d, cut: map[mesh.MoveID]bool{}}
 	return kernel.Duty{
-		Name: "guard", Owns: "local evidence, local share, newest known moves",
-		In:  []string{"guard.samples", "guard.messages", "guard.held"},
-		Out: []string{"links.push"}, Run: g.run,
+		Name: "guard", Owns: "local evidence, local share",
+		In:  []string{"guard.samples", "guard.inbox", "guard.held"},
+		Out: []string{"links.push"},
+		Run: g.run,
 	}
 }
 
-func (g *guard) run(ctx context.Context) error {
-	ticker := time.NewTicker(g.window)
+func (g *duty) run(ctx context.Context) error {
+	ticker := time.NewTicker(g.Settings.Interval.Duration)
 	defer ticker.Stop()
 	for {
 		select {
-		case o := <-g.in.Samples.C():
-			if g.guard != nil {
-				g.guard.Observe(&o, time.Now())
-			}
-		case m := <-g.in.Messages.C():
-			g.receive(ctx, m)
-		case held := <-g.in.Held.C():
+		case <-ctx.Done():
+			return nil
+		case o := <-g.Samples.C():
+			g.sample(&o, time.Now())
+		case in := <-g.Inbox.C():
+			g.message(ctx, in, time.Now())
+		case held := <-g.Held.C():
 			g.synced = true
-			g.rows(ctx, held.Moves, "")
+			g.rows(ctx, held.Moves, "", time.Now())
 		case now := <-ticker.C:
 			g.tick(ctx, now)
-		case <-ctx.Done():
-			return nil
 		}
 	}
 }
 
-// ready creates the decision state once the incarnation is known: reports of
-// two lives must not be mixed.
-func (g *guard) ready() bool {
-	if g.guard != nil {
-		return true
-	}
-	view := g.in.View.Load()
+// ready creates the guard as soon as the node finds itself in its view, which
+// tells the incarnation that its reports carry.
+func (g *duty) ready(now time.Time) bool {
+	view := g.View.Load()
 	if view == nil {
 		return false
 	}
-	self := view.Member(g.in.Identity.Node)
-	if self == nil {
-		return false
+	if g.guard == nil {
+		for i := range view.Members {
+			if m := &view.Members[i]; m.Node == view.Self {
+				g.self = m.Node
+				g.guard = moves.NewGuard(g.Settings.decisions(), m.Node, m.Incarnation)
+			}
+		}
 	}
-	g.guard = moves.NewGuard(g.in.Settings, g.in.Identity.Node, self.Incarnation)
-	return true
+	if g.guard != nil && view != g.view {
+		g.view = view
+		g.guard.Members(view, now)
+	}
+	return g.guard != nil
 }
 
-func (g *guard) receive(ctx context.Context, m port.MovesIn) {
-	if !g.ready() {
-		return
+func (g *duty) sample(o *mesh.Outcome, now time.Time) {
+	if g.ready(now) {
+		g.guard.Observe(o, now)
 	}
-	switch message := m.Message.(type) {
+}
+
+func (g *duty) message(ctx context.Context, in port.MovesIn, now time.Time) {
+	switch m := in.Message.(type) {
 	case wire.Moves:
-		if message.Request {
-			g.push(ctx, port.Push{To: m.From, Message: wire.Moves{Moves: g.guard.Table()}})
+		if m.Request {
+			g.answer(ctx, in.From, now)
 			return
 		}
 		g.synced = true
-		g.rows(ctx, message.Moves, m.From)
+		g.rows(ctx, m.Moves, in.From, now)
 	case wire.EvidenceReport:
-		g.hear(ctx, message, m.From)
-	}
-}
-
-// hear takes a report and passes it on. A report that is not newer than one of
-// the same life is dropped, which ends the flood.
-func (g *guard) hear(ctx context.Context, m wire.EvidenceReport, from mesh.NodeID) {
-	e := m.Evidence
-	key := reporter{e.Move, e.Node, e.Incarnation}
-	if e.Node == g.in.Identity.Node || e.Sequence <= g.heard[key] {
-		return
+		if g.ready(now) && g.guard.Hear(&m.Evidence) {
+			g.send(ctx, m, in.From)
+		}
 	}
-	g.heard[key] = e.Sequence
-	g.guard.Hear(&e)
-	g.push(ctx, port.Push{Except: from, Message: m})
 }
 
-// rows takes over newer rows, publishes them and passes them on.
-func (g *guard) rows(ctx context.Context, rows []mesh.Move, from mesh.NodeID) {
-	if !g.ready() || !g.guard.Rows(rows, time.Now()) {
+// rows takes over newer rows and passes them on to all links but the one they
+// came from.
+func (g *duty) rows(ctx context.Context, rows []mesh.Move, from mesh.NodeID, now time.Time) {
+	if !g.ready(now) || !g.guard.Rows(rows, now) {
 		return
 	}
-	for _, m := range rows {
-		g.in.Logger.Info().Str("move", string(m.ID)).Str("phase", string(m.Phase)).
-			Float64("share", m.Share).Uint64("step", m.Step).Str("reason", m.Reason).Msg("move changed")
-	}
-	g.publish(time.Now())
-	g.push(ctx, port.Push{Except: from, Message: wire.Moves{Moves: rows}})
+	g.guard.Members(g.view, now)
+	g.publish(now)
+	g.send(ctx, wire.Moves{Moves: rows}, from)
 }
 
-func (g *guard) tick(ctx context.Context, now time.Time) {
-	if !g.ready() {
+func (g *duty) tick(ctx context.Context, now time.Time) {
+	if !g.ready(now) {
 		return
 	}
-	if view := g.in.View.Load(); view != nil {
-		g.guard.Members(view, now)
-	}
 	if !g.synced {
 		g.sync(ctx)
 	}
-	reports := g.guard.Tick(now)
-	g.publish(now)
-	g.forgetEnded()
 	g.ticks++
-	if g.ticks%g.reportEvery() != 0 {
-		return
-	}
-	for _, e := range reports {
-		g.push(ctx, port.Push{Message: wire.EvidenceReport{Evidence: e}})
+	report := g.ticks%g.reportTicks() == 0
+	for _, e := range g.guard.Tick(now) {
+		g.note(&e)
+		if report || e.Cut {
+			g.send(ctx, wire.EvidenceReport{Evidence: e}, "")
+		}
 	}
-	// Rows are repeated so that a node that missed one, such as one that has
-	// just linked, learns it within a report interval.
-	if table := g.current(); len(table) > 0 {
-		g.push(ctx, port.Push{Message: wire.Moves{Moves: table}})
+	if g.ticks%repairTicks == 0 {
+		g.send(ctx, wire.Moves{Moves: g.guard.Table()}, "")
 	}
+	g.publish(now)
 }
 
-// aloneTicks is the number of windows after which a node without peers goes on
-// without knowing any move.
-const aloneTicks = 5
+const (
+	// repairTicks is how many ticks pass until the rows are sent again, for
+	// nodes that missed a message. Nodes that start ask for them.
+	repairTicks = 30
+	// aloneTicks is how many ticks a node without peers waits for news of moves.
+	aloneTicks = 5
+	// membersPerTick spreads reports over more ticks in a large mesh: every
+	// report reaches every node, so their number grows with the square of the
+	// members otherwise.
+	membersPerTick = 100
+)
+
+func (g *duty) reportTicks() int { return 1 + len(g.view.Members)/membersPerTick }
 
 // sync asks the linked peers for the moves that they know.
-func (g *guard) sync(ctx context.Context) {
-	g.push(ctx, port.Push{Message: wire.Moves{Request: true}})
+func (g *duty) sync(ctx context.Context) {
+	g.send(ctx, wire.Moves{Request: true}, "")
 	if g.hasPeers() {
 		g.alone = 0
 		return
@@ -166,64 +176,43 @@
 	g.synced = g.alone >= aloneTicks
 }
 
-func (g *guard) hasPeers() bool {
-	view := g.in.View.Load()
-	for i := range view.Members {
-		if m := &view.Members[i]; m.State == mesh.NodeAlive && m.Node != g.in.Identity.Node {
+func (g *duty) hasPeers() bool {
+	for i := range g.view.Members {
+		if m := &g.view.Members[i]; m.State == mesh.NodeAlive && m.Node != g.self {
 			return true
 		}
 	}
 	return false
 }
 
-// membersPerTick spreads reports over more windows in a large mesh: every
-// report reaches every node, so their number grows with the square of the
-// members otherwise.
-const membersPerTick = 100
-
-func (g *guard) reportEvery() int {
-	if view := g.in.View.Load(); view != nil {
-		return 1 + len(view.Members)/membersPerTick
-	}
-	return 1
-}
-
-// current returns the rows that other nodes may need: those of moves that have
-// not ended, or whose target time is not long past.
-func (g *guard) current() []mesh.Move {
-	var rows []mesh.Move
-	for _, m := range g.guard.Table() {
-		if !m.Phase.Ended() || time.Since(m.Target) < time.Minute {
-			rows = append(rows, m)
-		}
+// answer sends all known rows to a node that asks for them. A node that does
+// not know them itself yet stays silent.
+func (g *duty) answer(ctx context.Context, to mesh.NodeID, now time.Time) {
+	if g.synced && g.ready(now) {
+		_ = g.Push.Send(ctx, port.Push{To: to, Message: wire.Moves{Moves: g.guard.Table()}})
 	}
-	return rows
 }
 
-func (g *guard) publish(now time.Time) {
-	if g.synced {
-		splits := g.guard.Splits(now)
-		g.in.Splits.Store(&splits)
+func (g *duty) note(e *mesh.Evidence) {
+	if e.Cut && !g.cut[e.Move] {
+		g.cut[e.Move] = true
+		g.Logger.Warn().Str("move", string(e.Move)).Str("reason", e.Reason).
+			Msg("new upstream version cut on this node")
 	}
-	g.in.Moves.Store(&port.MoveTable{Moves: g.guard.Table()})
-	g.in.Evidence.Store(&port.EvidenceTable{Reports: g.guard.Reports()})
-	g.in.Verdicts.Store(&port.VerdictTable{Verdicts: g.guard.Verdicts()})
 }
 
-func (g *guard) forgetEnded() {
-	ended := map[mesh.MoveID]bool{}
-	for _, m := range g.guard.Table() {
-		ended[m.ID] = m.Phase.Ended()
-	}
-	for key := range g.heard {
-		if ended[key.move] {
-			delete(g.heard, key)
-		}
-	}
+// send never waits: the ring replaces its oldest item when it is full, and
+// the next report repairs what was lost.
+func (g *duty) send(ctx context.Context, m wire.Message, except mesh.NodeID) {
+	_ = g.Push.Send(ctx, port.Push{Except: except, Message: m})
 }
 
-func (g *guard) push(ctx context.Context, p port.Push) {
-	if g.in.Push != nil {
-		_ = g.in.Push.Send(ctx, p)
+func (g *duty) publish(now time.Time) {
+	if g.synced {
+		splits := g.guard.Splits(now)
+		g.Splits.Store(&splits)
 	}
+	g.Moves.Store(&port.MoveTable{Moves: g.guard.Table()})
+	g.Evidence.Store(&port.EvidenceTable{Reports: g.guard.Reports()})
+	g.Verdicts.Store(&port.VerdictTable{Verdicts: g.guard.Verdicts()})
 }
--- a/plugins/movesholder/requests.go
+++ b/plugins/movesholder/requests.go
@@ -5,57 +5,96 @@
 	"time"
 
 	"teaselring/decision/moves"
-	"teaselring/kernel"
 	"teaselring/mesh"
 	"teaselring/port"
 	"teaselring/result"
 )
 
-// start declares a move. The row of the service makes two operators' moves of
-// one service exclude each other.
-func (h *holder) start(ctx context.Context, ask kernel.Ask[port.StartMove, mesh.Move]) error {
-	stored, err := h.rows.scan(ctx)
+// start declares a move. An operator may repeat the request when the answer
+// was lost: the same move is then found and returned.
+func (h *duty) start(ctx context.Context, q port.StartMove, now time.Time) (mesh.Move, error) {
+	view := h.View.Load()
+	if view == nil {
+		return mesh.Move{}, result.NoConfiguration.Errorf("the members are not known yet")
+	}
+	if row, _, err := h.rows.get(ctx, q.Move.ID); err == nil && sameRequest(&row, &q.Move) {
+		return row, nil
+	} else if err != nil && result.Of(err) != result.MoveNotFound {
+		return mesh.Move{}, err
+	}
+	known, err := h.rows.all(ctx)
 	if err != nil {
-		return err
+		return mesh.Move{}, err
+	}
+	if err := moves.Validate(&q.Move, known, view, now); err != nil {
+		return mesh.Move{}, err
 	}
-	move := ask.Query.Move
-	if err := moves.Validate(&move, movesOf(stored), h.in.View.Load(), time.Now()); err != nil {
-		return err
+	row := moves.Declare(&q.Move, now)
+	err = h.rows.create(ctx, &row, entry(mesh.NodeID(row.By), "declare", now))
+	if result.Of(err) == result.PlatformUnknown {
+		err = h.confirm(ctx, &row)
+	}
+	if result.Of(err) == result.RowConflict {
+		err = result.MoveInProgress.Errorf("another move of service %q was declared at the same time", row.Service)
+	}
+	if err != nil {
+		return mesh.Move{}, err
 	}
-	row := moves.Declare(&move, time.Now())
-	if err := h.rows.create(ctx, row, stored); err != nil {
-		return err
+	h.publish(ctx, row)
+	return row, nil
+}
+
+func sameRequest(row, m *mesh.Move) bool {
+	return row.Service == m.Service && row.Old == m.Old && row.New == m.New &&
+		row.By == m.By && row.Target.Equal(m.Target)
+}
+
+// confirm reads a row back whose write was answered by nothing. It returns
+// result.PlatformUnknown when that can't be told either.
+func (h *duty) confirm(ctx context.Context, want *mesh.Move) error {
+	row, _, err := h.rows.get(ctx, want.ID)
+	switch {
+	case err == nil && row.Epoch == want.Epoch && row.Step >= want.Step && row.Phase == want.Phase:
+		return nil
+	case err == nil, result.Of(err) == result.MoveNotFound:
+		return result.PlatformDown.Errorf("move %q was not written", want.ID)
 	}
-	ask.Answer(row)
-	_ = h.in.Held.Send(ctx, port.HeldMoves{Moves: []mesh.Move{row}})
-	return nil
+	return result.PlatformUnknown.Errorf("it is not known whether move %q was written", want.ID)
 }
 
-// takeBackTries bounds the repetitions when the holder's steps come between.
-const takeBackTries = 5
+// takeBackTries bounds the races with the holder, which writes every 4 s.
+const takeBackTries = 3
 
-// takeBack writes the operator's decision into the row, whoever holds its
-// lease; the holder finds it there.
-func (h *holder) takeBack(ctx context.Context, ask kernel.Ask[port.TakeBack, mesh.Move]) error {
-	var lastErr error
+// takeBack takes a move back at an operator's request, on any node.
+func (h *duty) takeBack(ctx context.Context, q port.TakeBack, now time.Time) (mesh.Move, error) {
+	var err error
 	for range takeBackTries {
-		s, err := h.rows.get(ctx, ask.Query.Move)
-		if err != nil {
-			return err
+		var row mesh.Move
+		var revision uint64
+		if row, revision, err = h.rows.get(ctx, q.Move); err != nil {
+			return mesh.Move{}, err
+		}
+		if row.Phase == mesh.MoveTakingBack {
+			return row, nil
+		}
+		if row.Phase.Ended() {
+			return mesh.Move{}, result.MoveEnded.Errorf("move %q ended as %s", row.ID, row.Phase)
 		}
-		if s.move.Phase.Ended() {
-			return result.MoveEnded.Errorf("move %q ended as %s", s.move.ID, s.move.Phase)
+		next := moves.TakeBack(row, q.By, q.Why)
+		err = h.rows.write(ctx, revision, &row, &next, entry(mesh.NodeID(q.By), "take back", now))
+		if result.Of(err) == result.PlatformUnknown {
+			err = h.confirm(ctx, &next)
 		}
-		next := moves.TakeBack(s.move, ask.Query.By, ask.Query.Why)
-		lastErr = h.rows.write(ctx, s, next, ask.Query.By, h.verdict(next.ID))
-		if lastErr == nil {
-			ask.Answer(next)
-			_ = h.in.Held.Send(ctx, port.HeldMoves{Moves: []mesh.Move{next}})
-			return nil
+		if err == nil {
+			if l := h.led[next.ID]; l != nil {
+				l.row = next
+			}
+			h.publish(ctx, next)
+			return next, nil
 		}
-		if result.Of(lastErr) != result.RowConflict && result.Of(lastErr) != result.PlatformUnknown {
-			return lastErr
+		if result.Of(err) != result.RowConflict {
+			return mesh.Move{}, err
 		}
 	}
-	return lastErr
+	return mesh.Move{}, err
 }
