Let a node advertise another address than the one it binds

Nodes address each other by the address that the peers' listener binds, so a test could not put a proxy between two nodes. The setting advertise of [edge.peers] names the address that other nodes are told; without it nothing changes. It also serves instances behind address translation. The harness passes it, and Cluster.Proxy puts a proxy in front of a node.

--- a/plugins/edgepeers/edgepeers_test.go
+++ b/plugins/edgepeers/edgepeers_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -52,6 +53,23 @@
 	return c
 }
 
+var _ = DescribeTable("the address that other nodes are told", func(advertise, told string, valid bool) {
+	s := settings()
+	s.Address, s.Key, s.MaxConnections = netip.MustParseAddrPort("127.0.0.1:8443"), testKey, 1
+	if advertise != "" {
+		s.Advertise = netip.MustParseAddrPort(advertise)
+	}
+	Expect(s.Validate() == nil).To(Equal(valid))
+	if valid {
+		Expect(s.advertised(s.Address).String()).To(Equal(told))
+	}
+},
+	Entry("is the bound one by default", "", "127.0.0.1:8443", true),
+	Entry("can be set", "10.0.0.1:9443", "10.0.0.1:9443", true),
+	Entry("has no port 0", "10.0.0.1:0", "", false),
+	Entry("is not unspecified", "0.0.0.0:9443", "", false),
+)
+
 var _ = Describe("connections between nodes", func() {
 	It("authenticate both ends and use HTTP/2", func() {
 		answer, err := client(testKey, time.Now()).Get(serve(testKey))
--- a/plugins/edgepeers/setup.go
+++ b/plugins/edgepeers/setup.go
@@ -20,6 +20,7 @@
 // Settings are the table [edge.peers] of a settings file.
 type Settings struct {
 	Address        netip.AddrPort  `toml:"address" comment:"IP:port on which other nodes reach this one"`
+	Advertise      netip.AddrPort  `toml:"advertise" comment:"IP:port that other nodes are told, where it differs from the bound one; default: the bound one"`
 	Key            string          `toml:"key" comment:"key shared by all nodes, at least 16 characters"`
 	MaxConnections int             `toml:"max_connections" comment:"connections of other nodes at a time, 1 to 100000"`
 	PingAfter      kernel.Duration `toml:"ping_after" comment:"silence of an HTTP/2 connection before a ping is sent, 100ms to 10s"`
@@ -34,6 +35,10 @@
 	if !s.Address.IsValid() {
 		return &kernel.FieldError{Key: "address", Value: s.Address, Allowed: "an IP address and a port such as 10.0.0.1:8443"}
 	}
+	// Other nodes can't dial an unspecified address or port 0.
+	if a := s.Advertise; a != (netip.AddrPort{}) && (a.Addr().IsUnspecified() || a.Port() == 0) {
+		return &kernel.FieldError{Key: "advertise", Value: a, Allowed: "an IP address and a port such as 10.0.0.1:8443"}
+	}
 	if len(s.Key) < minKeyLength {
 		return &kernel.FieldError{Key: "key", Value: "(hidden)", Allowed: "at least 16 characters"}
 	}
@@ -100,8 +105,16 @@
 	return port.Listener{
 		Edge: "peers", Address: s.Address, MaxConnections: s.MaxConnections, Server: server,
 		Serve:   serveTLS(server),
-		Started: func(a netip.AddrPort) { in.Address.Store(&a) },
+		Started: func(bound netip.AddrPort) { in.Address.Store(s.advertised(bound)) },
+	}
+}
+
+// advertised returns the address by which other nodes reach the listener.
+func (s *Settings) advertised(bound netip.AddrPort) *netip.AddrPort {
+	if s.Advertise.IsValid() {
+		return &s.Advertise
 	}
+	return &bound
 }
 
 // authenticated refuses a request whose connection carries no valid peer
--- a/test/harness/cluster.go
+++ b/test/harness/cluster.go
@@ -21,7 +21,6 @@
 	Platform Platform
 	Nodes    []*Node
 	Extra    string // further settings for every node
-	seeds    []string
 	zones    map[string]string
 }
 
@@ -33,15 +32,28 @@
 		n := h.NewNode(name)
 		c.Nodes = append(c.Nodes, n)
 		c.zones[name] = fmt.Sprintf("z%d", i%zones)
-		if len(c.seeds) < 3 {
-			c.seeds = append(c.seeds, fmt.Sprintf("%q", n.Peers))
-		}
 	}
 	return c
 }
 
+// Proxy puts a proxy in front of the peers' listener of a node. It is called
+// before Start.
+func (c *Cluster) Proxy(n *Node) *Proxy {
+	c.H.tb.Helper()
+	proxy := c.H.StartProxy(n.Peers)
+	n.Advertise = proxy.Address
+	return proxy
+}
+
+// maxSeeds is the number of nodes that the others are told of.
+const maxSeeds = 3
+
 // Settings returns the settings file of a node.
 func (c *Cluster) Settings(n *Node) string {
+	var seeds []string
+	for _, seed := range c.Nodes[:min(maxSeeds, len(c.Nodes))] {
+		seeds = append(seeds, fmt.Sprintf("%q", seed.Advertise))
+	}
 	return fmt.Sprintf(`
 [node.identity]
 id = %q
@@ -53,6 +65,7 @@
 address = %q
 [edge.peers]
 address = %q
+advertise = %q
 key = %q
 [edge.operators]
 address = %q
@@ -62,8 +75,8 @@
 listen = %q
 [membership.view]
 seeds = [%s]
-%s`, n.Name, c.zones[n.Name], c.Platform.Address, n.Callers, n.Peers, PeerKey, n.Operators,
-		ReadToken, ChangeToken, n.Announce, strings.Join(c.seeds, ", "), c.Extra)
+%s`, n.Name, c.zones[n.Name], c.Platform.Address, n.Callers, n.Peers, n.Advertise, PeerKey, n.Operators,
+		ReadToken, ChangeToken, n.Announce, strings.Join(seeds, ", "), c.Extra)
 }
 
 // Start starts every node.
--- a/test/harness/programs.go
+++ b/test/harness/programs.go
@@ -149,6 +149,7 @@
 type Node struct {
 	*Process
 	Callers, Peers, Operators, Announce string // IP:port
+	Advertise                           string // what other nodes are told; NewNode sets Peers
 	file                                string
 }
 
@@ -156,11 +157,13 @@
 // settings of other nodes can name them.
 func (h *Harness) NewNode(name string) *Node {
 	h.tb.Helper()
-	return &Node{
+	n := &Node{
 		Process: &Process{Name: name, h: h},
 		Callers: h.FreeAddress(), Peers: h.FreeAddress(), Operators: h.FreeAddress(), Announce: h.FreeAddress(),
 		file: filepath.Join(h.dir, name+".toml"),
 	}
+	n.Advertise = n.Peers
+	return n
 }
 
 // WriteSettings sets the content of the node's settings file, also between
