Keep a caller's wish to close its connection from the next one

Cause: the request for the owner node is a clone of the caller's, with its Close member. A caller that sends "Connection: close" thus had the connection to the upstream closed after its call, and net/http does not use the HTTP/2 connection of such a request for another one, so that later calls paid for a new connection. Ruled out: removal of the header, which net/http keeps in Close and not in the headers of the request. Conclusion: the member is cleared together with the hop-by-hop headers.

--- a/plugins/callforward/exchange.go
+++ b/plugins/callforward/exchange.go
@@ -147,6 +147,7 @@
 	request := c.request.Clone(ctx)
 	request.Body = c.body.forAttempt()
 	request.RequestURI = ""
+	request.Close = false // the caller's wish for its own connection
 	removeHeaders(request.Header, hopHeaders, internalHeaders)
 	if a.target.Node == c.Identity.Node {
 		answer, load, err := c.Owner.run(ctx, a, request)
