Test the path of a call between nodes

Guards against a truncated answer passed as whole, net/http repeating a once call by itself on a broken kept connection, "not run" after an attempt that may have run, forged or hop-by-hop headers, and an upload cut while it makes progress.

Each was seen to fail on a scratch change: without the abort in copyAnswer, without onceOnly, without truthful, with a settle request taken as proof whatever its answer, without removeHeaders, and with patience that is never or always extended by what is sent.

--- /dev/null
+++ b/plugins/callforward/callforward_suite_test.go
@@ -0,0 +1,158 @@
+package callforward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"teaselring/kernel"
+	"teaselring/mesh"
+	"teaselring/port"
+	"teaselring/result"
+)
+
+func TestCallForward(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "call.forward")
+}
+
+// serving answers every query of a ring until the test ends.
+func serving[Q, A any](name string, answer func(Q) (A, error)) *kernel.Ring[kernel.Ask[Q, A]] {
+	ring := kernel.NewRing[kernel.Ask[Q, A]](name, 64, kernel.WaitUntilDeadline)
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	go func() {
+		for {
+			select {
+			case ask := <-ring.C():
+				if a, err := answer(ask.Query); err != nil {
+					ask.Fail(err)
+				} else {
+					ask.Answer(a)
+				}
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return ring
+}
+
+// pair is an entry node and an owner node whose duties are scripted.
+type pair struct {
+	upstream    string        // IP:port that admitted attempts are sent to
+	targets     []mesh.Target // of the picks to come; none left: no endpoint
+	retry       bool          // verdict about failed attempts
+	fenced      bool          // answer to settle requests
+	settles     chan mesh.AttemptID
+	settlements chan port.Settlement
+
+	owner *owner
+	entry *entry
+	peers string // IP:port of the owner node's peers' listener
+	url   string // of the entry node
+}
+
+const (
+	entryNode = mesh.NodeID("entry")
+	ownerNode = mesh.NodeID("owner")
+)
+
+func newPair(upstream string) *pair {
+	p := &pair{upstream: upstream, settles: make(chan mesh.AttemptID, 16), settlements: make(chan port.Settlement, 16)}
+	logger := kernel.NewLogger(io.Discard)
+	p.owner = newOwner(&Settings{UpstreamConnections: 4}, ownerIn{
+		Identity: mesh.Identity{Node: ownerNode}, Logger: logger,
+		Admit: serving("admit", func(port.Admit) (port.Admitted, error) {
+			return port.Admitted{Upstream: netip.MustParseAddrPort(p.upstream), Load: mesh.Load{Limit: 4}}, nil
+		}),
+		Release: kernel.NewRing[port.Released]("release", 64, kernel.WaitUntilDeadline),
+		Settle: serving("settle", func(s port.Settle) (port.Settled, error) {
+			p.settles <- s.Attempt
+			return port.Settled{NotRun: p.fenced}, nil
+		}),
+		Claims: serving("claims", func(port.Claim) (port.Claimed, error) { return port.Claimed{}, nil }),
+		Settlements: serving("settlements", func(s port.Settlement) (struct{}, error) {
+			p.settlements <- s
+			return struct{}{}, nil
+		}),
+	})
+	mux := http.NewServeMux()
+	mux.Handle(callPrefix+"/", p.owner)
+	mux.HandleFunc("POST "+settlePath, p.owner.settle)
+	peers := httptest.NewUnstartedServer(mux)
+	peers.EnableHTTP2 = true
+	peers.StartTLS()
+	DeferCleanup(peers.Close)
+	p.peers = peers.Listener.Addr().String()
+	snapshot := new(port.SnapshotCell)
+	snapshot.Store(&mesh.Snapshot{Routes: []mesh.Route{
+		{ID: "r", PathPrefix: "/read", Service: "s", Class: mesh.ClassRead, Timeout: 30 * time.Second},
+		{ID: "u", PathPrefix: "/upload", Service: "s", Class: mesh.ClassUpload, Timeout: 30 * time.Second},
+		{ID: "o", PathPrefix: "/once", Service: "s", Class: mesh.ClassOnce, Timeout: 30 * time.Second},
+	}})
+	p.entry = newEntry(&Settings{SettleTimeout: kernel.Span(10 * time.Second)}, entryIn{
+		Identity: mesh.Identity{Node: entryNode}, Logger: logger, Snapshot: snapshot,
+		Picks: serving("picks", func(port.Pick) (mesh.Target, error) {
+			if len(p.targets) == 0 {
+				return mesh.Target{}, result.NoEndpoint.Err()
+			}
+			target := p.targets[0]
+			p.targets = p.targets[1:]
+			return target, nil
+		}),
+		Outcomes: kernel.NewRing[port.Finished]("outcomes", 64, kernel.WaitUntilDeadline),
+		Retries:  serving("retries", func(port.MayRetry) (port.RetryVerdict, error) { return port.RetryVerdict{Retry: p.retry}, nil }),
+		Peers:    port.PeerClient{Client: peers.Client()},
+		Owner:    p.owner,
+	})
+	callers := httptest.NewServer(p.entry)
+	DeferCleanup(callers.Close)
+	p.url = callers.URL
+	return p
+}
+
+// remote is the owner node; local is the entry node itself, with the same
+// upstream beside it.
+func (p *pair) remote() mesh.Target {
+	return mesh.Target{Node: ownerNode, PeerAddress: p.peers, Service: "s", Version: "v1"}
+}
+
+func (p *pair) local() mesh.Target {
+	return mesh.Target{Node: entryNode, Service: "s", Version: "v1"}
+}
+
+// serveUpstream runs an upstream and returns its IP:port.
+func serveUpstream(handler http.HandlerFunc) string {
+	server := httptest.NewServer(handler)
+	DeferCleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+func (p *pair) request(method, path, body string, header map[string]string) *http.Request {
+	request, err := http.NewRequest(method, p.url+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	return request
+}
+
+// send returns the answer and what reading its body came to.
+func send(request *http.Request) (*http.Response, string, error) {
+	GinkgoHelper()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	answer, err := client.Do(request)
+	Expect(err).NotTo(HaveOccurred())
+	defer answer.Body.Close()
+	content, err := io.ReadAll(answer.Body)
+	return answer, string(content), err
+}
--- /dev/null
+++ b/plugins/callforward/callforward_test.go
@@ -0,0 +1,252 @@
+package callforward
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"teaselring/mesh"
+	"teaselring/result"
+)
+
+// A caller that takes a part of an answer for the whole acts on wrong data.
+var _ = DescribeTable("an answer that breaks off is never passed as whole", func(local, chunked bool) {
+	p := newPair(serveUpstream(func(w http.ResponseWriter, _ *http.Request) {
+		if !chunked {
+			w.Header().Set("Content-Length", "100")
+		}
+		_, _ = io.WriteString(w, "only a part")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}))
+	p.targets = []mesh.Target{p.remote()}
+	if local {
+		p.targets = []mesh.Target{p.local()}
+	}
+	answer, body, err := send(p.request("GET", "/read/a", "", nil))
+	Expect(answer.StatusCode).To(Equal(http.StatusOK))
+	Expect(err).To(HaveOccurred(), "read %q", body)
+},
+	Entry("with a length, through another node", false, false),
+	Entry("without a length, through another node", false, true),
+	Entry("with a length, on the entry node itself", true, false),
+	Entry("without a length, on the entry node itself", true, true),
+)
+
+// breakingUpstream answers the first request of each connection and closes the
+// connection after it has read the second. It reports the key of each request.
+func breakingUpstream() (address string, keys <-chan string) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	seen := make(chan string, 16)
+	serve := func(c net.Conn) {
+		defer c.Close()
+		for reader, n := bufio.NewReader(c), 0; n < 2; n++ {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			seen <- request.Header.Get(headerKey)
+			if n == 0 {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			}
+		}
+	}
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return listener.Addr().String(), seen
+}
+
+// net/http repeats a request by itself on a fresh connection when a kept one
+// breaks, if it has no body and an Idempotency-Key. A charge would run twice.
+var _ = DescribeTable("a once call on a kept connection that breaks is sent once", func(local bool, body string) {
+	address, keys := breakingUpstream()
+	p := newPair(address)
+	p.targets = []mesh.Target{p.remote(), p.remote()}
+	if local {
+		p.targets = []mesh.Target{p.local(), p.local()}
+	}
+	answer, _, _ := send(p.request("POST", "/once/a", body, map[string]string{headerKey: "first"}))
+	Expect(answer.StatusCode).To(Equal(http.StatusOK))
+	answer, _, _ = send(p.request("POST", "/once/b", body, map[string]string{headerKey: "second"}))
+	Expect(code(answer)).To(Equal(result.UpstreamCrashed))
+	Expect(keys).To(Receive(Equal("first")))
+	Expect(keys).To(Receive(Equal("second")))
+	Expect(keys).NotTo(Receive())
+	// The claim of the second stays: nobody knows what it came to.
+	Expect(p.settlements).To(Receive(HaveField("Claim.Key", "first")))
+	Expect(p.settlements).NotTo(Receive())
+},
+	Entry("without a body, through another node", false, ""),
+	Entry("without a body, on the entry node itself", true, ""),
+	Entry("with a body, through another node", false, "12 ML"),
+)
+
+func code(answer *http.Response) *result.Code {
+	number, err := strconv.Atoi(answer.Header.Get("Teasel-Code"))
+	Expect(err).NotTo(HaveOccurred(), answer.Status)
+	return result.ByNumber(number)
+}
+
+// silentPeer accepts a connection and closes it without an answer.
+func silentPeer() mesh.Target {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.Close()
+		}
+	}()
+	return mesh.Target{Node: "silent", PeerAddress: listener.Addr().String()}
+}
+
+var _ = Describe("a call whose first attempt may have run", func() {
+	var p *pair
+	BeforeEach(func() {
+		p = newPair(serveUpstream(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+		p.retry = true
+	})
+
+	// The caller would repeat a charge that ran.
+	DescribeTable("is not refused as not run by a later attempt", func(later func() []mesh.Target) {
+		p.targets = append([]mesh.Target{p.remote()}, later()...)
+		answer, _, _ := send(p.request("POST", "/once/a", "x", map[string]string{headerKey: "k"}))
+		Expect(code(answer)).To(Equal(result.UpstreamCrashed))
+	},
+		Entry("that finds no endpoint", func() []mesh.Target { return nil }),
+		Entry("that can't connect", func() []mesh.Target { return []mesh.Target{silentPeer()} }),
+	)
+
+	It("is settled when the owner node's answer is lost, and refused as not run only with proof", func() {
+		for _, p.fenced = range []bool{false, true} {
+			p.retry = false
+			p.targets = []mesh.Target{p.remote()}
+			breaking := *p.entry
+			breaking.Peers.Client = &http.Client{Transport: loseCalls{p.entry.Peers.Transport}}
+			c := &exchange{entry: &breaking}
+			err := c.settleFailure(context.Background(), &attempt{
+				id: "a1", target: p.remote(), call: mesh.Call{Deadline: time.Now().Add(time.Minute)},
+			}, io.ErrUnexpectedEOF, true)
+			Expect(p.settles).To(Receive(BeEquivalentTo("a1")))
+			if p.fenced {
+				Expect(result.Of(err)).To(Equal(result.Fenced))
+			} else {
+				Expect(result.Of(err)).To(Equal(result.ConnectionLost))
+			}
+		}
+	})
+})
+
+// loseCalls breaks every request but those to settle.
+type loseCalls struct{ http.RoundTripper }
+
+func (l loseCalls) RoundTrip(r *http.Request) (*http.Response, error) {
+	if strings.HasPrefix(r.URL.Path, settlePath) {
+		return l.RoundTripper.RoundTrip(r)
+	}
+	return nil, io.ErrUnexpectedEOF
+}
+
+// A forged attempt id could fence another's call, a forged class could jump
+// the queue, and hop-by-hop headers would confuse the next connection.
+var _ = DescribeTable("headers of one connection and of the nodes are removed", func(local bool) {
+	seen := make(chan http.Header, 1)
+	p := newPair(serveUpstream(func(w http.ResponseWriter, r *http.Request) {
+		seen <- r.Header
+		for name, value := range map[string]string{
+			"Connection": "X-Answer-Hop", "X-Answer-Hop": "1", "Keep-Alive": "5", "X-Kept": "answer",
+			headerLoad: "9,9,9", "Teasel-Code": "1018",
+		} {
+			w.Header().Set(name, value)
+		}
+		_, _ = io.WriteString(w, "ok")
+	}))
+	p.targets = []mesh.Target{p.remote()}
+	if local {
+		p.targets = []mesh.Target{p.local()}
+	}
+	answer, body, err := send(p.request("GET", "/read/a", "", map[string]string{
+		"Connection": "X-Hop", "X-Hop": "1", "Keep-Alive": "5", "X-Kept": "request", "Te": "trailers",
+		headerAttempt: "forged", headerClass: "once", headerIncarnation: "7", headerRoute: "forged", headerFingerprint: "f",
+	}))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(body).To(Equal("ok"))
+	var got http.Header
+	Expect(seen).To(Receive(&got))
+	for _, name := range []string{"Connection", "X-Hop", "Keep-Alive", "Te"} {
+		Expect(got).NotTo(HaveKey(name))
+	}
+	Expect(got.Get("X-Kept")).To(Equal("request"))
+	Expect(got.Get(headerAttempt)).NotTo(Or(BeEmpty(), Equal("forged")))
+	Expect(got.Get(headerClass)).To(Equal("read"))
+	Expect(got.Get(headerRoute)).To(Equal("r"))
+	for _, name := range []string{"X-Answer-Hop", "Keep-Alive", "Teasel-Load", "Teasel-Code"} {
+		Expect(answer.Header).NotTo(HaveKey(name))
+	}
+	Expect(answer.Header.Get("X-Kept")).To(Equal("answer"))
+},
+	Entry("through another node", false),
+	Entry("on the entry node itself", true),
+)
+
+// An upload from a weak connection must not be cut while it makes progress,
+// and a read must not wait for ever.
+var _ = It("patience is extended by progress, for uploads in both directions", func() {
+	const timeout = time.Second
+	cases := []struct {
+		what     string
+		class    mesh.Class
+		progress func(*patience)
+		extended bool
+	}{
+		{"upload that sends", mesh.ClassUpload, (*patience).sent, true},
+		{"upload that receives", mesh.ClassUpload, (*patience).received, true},
+		{"upload without progress", mesh.ClassUpload, func(*patience) {}, false},
+		{"read that sends", mesh.ClassRead, (*patience).sent, false},
+		{"read that receives", mesh.ClassRead, (*patience).received, true},
+		{"once call that sends", mesh.ClassOnce, (*patience).sent, false},
+	}
+	contexts := make([]context.Context, len(cases))
+	patiences := make([]*patience, len(cases))
+	for i, c := range cases {
+		var cancel context.CancelFunc
+		contexts[i], patiences[i], cancel = withPatience(context.Background(), c.class, timeout, timeout)
+		defer cancel()
+	}
+	ticker := time.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
+	for began := time.Now(); time.Since(began) < 2*timeout; <-ticker.C {
+		for i, c := range cases {
+			c.progress(patiences[i])
+		}
+	}
+	for i, c := range cases {
+		Expect(contexts[i].Err() == nil).To(Equal(c.extended), c.what)
+	}
+	for i, c := range cases {
+		Eventually(contexts[i].Done(), "30s").Should(BeClosed(), c.what)
+		Expect(context.Cause(contexts[i])).To(BeIdenticalTo(errDeadline), c.what)
+	}
+})
