--- a/cmd/teasel-node/plugins.go
+++ b/cmd/teasel-node/plugins.go
@@ -4,6 +4,8 @@
 import (
 	_ "teaselring/plugins/audittrail"
 	_ "teaselring/plugins/callforward"
+	_ "teaselring/plugins/callrouter"
+	_ "teaselring/plugins/callslots"
 	_ "teaselring/plugins/configsource"
 	_ "teaselring/plugins/configstore"
 	_ "teaselring/plugins/edgecallers"
@@ -11,6 +13,8 @@
 	_ "teaselring/plugins/edgepeers"
 	_ "teaselring/plugins/linkoverlay"
 	_ "teaselring/plugins/membershipview"
+	_ "teaselring/plugins/movesguard"
+	_ "teaselring/plugins/movesholder"
 	_ "teaselring/plugins/nodeidentity"
 	_ "teaselring/plugins/oncekeys"
 	_ "teaselring/plugins/operatorsapi"
--- /dev/null
+++ b/decision/moves/doubt.go
@@ -0,0 +1,117 @@
+package moves
+
+import "time"
+
+// doubt is the state in which the share goes back to half because answers got
+// worse at full share. Both versions then carry the same load, and their
+// answers in the same window decide. Without it, a platform outage or a surge
+// of load in the watch period would look like a bad version.
+type doubt struct {
+	active   bool
+	settled  bool
+	since    time.Time
+	last     time.Time // when it was last active
+	relapses int
+	before   window // totals at the start of the doubt
+	others   int    // nodes that doubted at the last window
+}
+
+const (
+	// doubtClear is the log likelihood ratio, gathered at half share, that
+	// ends a doubt.
+	doubtClear = 2
+	// doubtSettle is how long calls that were sent at full share may still
+	// arrive in reports.
+	doubtSettle = 3 * time.Second
+	// maxDoubtSpan ends a doubt in which too few calls arrived.
+	maxDoubtSpan = 90 * time.Second
+)
+
+func (d *doubt) step(p *Pool, now time.Time) {
+	if d.active {
+		d.last = now
+		if !d.settled && now.Sub(d.since) >= doubtSettle {
+			d.settled = true
+			p.good.resetFresh()
+		}
+		d.tryEnd(p, now)
+		return
+	}
+	doubting := p.doubting()
+	joins := d.others < agreeingNodes && doubting >= agreeingNodes
+	d.others = doubting
+	if !joins && !p.surging() {
+		return
+	}
+	d.active, d.settled, d.since, d.last, d.before = true, false, now, now, p.sum()
+	for i := range p.detectors {
+		p.detectors[i].restart = true
+		p.detectors[i].resetSurge()
+	}
+}
+
+// surging reports whether answers got worse whichever group is left out.
+func (p *Pool) surging() bool {
+	for i := range p.detectors {
+		if !p.detectors[i].surging() {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *Pool) doubting() int {
+	n := 0
+	for _, r := range p.nodes {
+		if r.latest.Doubt {
+			n++
+		}
+	}
+	return n
+}
+
+func (d *doubt) tryEnd(p *Pool, now time.Time) {
+	span := now.Sub(d.since)
+	if span < doubtSpan {
+		return
+	}
+	if !p.good.clear() && span < maxDoubtSpan {
+		return
+	}
+	d.active, d.others = false, p.doubting()
+	for i := range p.detectors {
+		p.detectors[i].resetSurge()
+	}
+	d.noteRelapse(p)
+}
+
+// noteRelapse counts a doubt in which the old version answered as well as it
+// always did: whatever made the answers worse at full share is then no common
+// cause, and happening again it counts as badness under load.
+func (d *doubt) noteRelapse(p *Pool) {
+	during := p.sum()
+	during.sub(&d.before)
+	if surgedOld(&during, &d.before) {
+		return
+	}
+	d.relapses++
+	if d.relapses >= p.settings.fullShareRelapses() && !p.shown {
+		p.shown = true
+		p.reason = "answers get worse at full share and recover at half share"
+	}
+}
+
+// surgedOld reports whether the old version failed clearly more than before.
+func surgedOld(during, before *window) bool {
+	rate := max(float64(before.old.Failures)/max(float64(before.old.Calls), 1), minRefRate)
+	h := hits{newHits: float64(during.old.Failures), newCalls: float64(during.old.Calls)}
+	return cusum(0, h, rate, 3, MeasurableExcess) > doubtClear
+}
+
+func (p *Pool) sum() window {
+	var w window
+	for i := range p.totals {
+		w.add(&p.totals[i])
+	}
+	return w
+}
