Add the plug-ins call.router and call.slots

call.router owns the router, the caller limits and the retry budgets of an entry node; call.slots owns the slots, the attempt table and the quarantine of an owner node. Both take back what they reserved when an asker has left. The attempt table is asked before all other checks, so that a duplicate of an attempt that began is never refused as not run. A waiting attempt is checked again when it starts, because the upstream may have been replaced meanwhile. port.LoadCell publishes the load for the header Teasel-Load.

--- a/decision/routing/endpoint.go
+++ b/decision/routing/endpoint.go
@@ -91,7 +91,7 @@
 	case unreachable(o):
 		e.strike(now, p)
 		return
-	case o.Shed:
+	case shed(o):
 		e.full(now)
 	case answered(o):
 		e.latency = average(e.latency, float64(o.Duration), p.Smoothing)
@@ -99,7 +99,7 @@
 	}
 	e.observed = now
 	failed := 0.0
-	if o.Failed && !o.Shed {
+	if o.Failed && !shed(o) {
 		failed = 1
 	}
 	e.failures += p.Smoothing * (failed - e.failures)
@@ -180,6 +180,16 @@
 	return false
 }
 
+// shed reports whether the upstream or the queue in front of it refused the
+// call under load.
+func shed(o *mesh.Outcome) bool {
+	switch o.Code {
+	case result.QueueFull.Number, result.QueueTimeout.Number, result.ClassLimit.Number, result.Shed.Number:
+		return true
+	}
+	return o.Shed
+}
+
 // answered reports whether the upstream ran the call and answered.
 func answered(o *mesh.Outcome) bool { return o.Code == 0 && !o.Shed && o.Status != 0 }
 
--- /dev/null
+++ b/plugins/callrouter/router.go
@@ -0,0 +1,198 @@
+package callrouter
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+
+	"teaselring/decision/limit"
+	"teaselring/decision/retry"
+	"teaselring/decision/routing"
+	"teaselring/kernel"
+	"teaselring/mesh"
+	"teaselring/port"
+	"teaselring/result"
+)
+
+// expiry is the time between two sweeps of idle retry budgets.
+const expiry = time.Minute
+
+type dutyIn struct {
+	fx.In
+	Settings *Settings
+	Picks    *port.PickRing
+	Outcomes *port.OutcomeRing
+	Retries  *port.RetryRing
+	View     *port.ViewCell
+	Snapshot *port.SnapshotCell
+	Splits   *port.SplitsCell `optional:"true"`
+	Samples  *port.SampleRing `optional:"true"`
+	Metrics  metrics.Registry
+}
+
+// duty owns what the entry node knows about endpoints and callers.
+type duty struct {
+	in      dutyIn
+	rnd     *rand.Rand
+	seed    uint64 // of draws derived from calls
+	router  *routing.Router
+	callers *limit.CallerLimits
+	budgets *retry.Budgets
+	policy  retry.Policy
+
+	picked, refused, retried, denied metrics.Counter
+}
+
+func newDuty(in dutyIn) kernel.Duty {
+	d := &duty{
+		in: in, rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), seed: rand.Uint64(),
+		router:  routing.New(in.Settings.routing()),
+		callers: limit.NewCallerLimits(in.Settings.callers()),
+		budgets: retry.NewBudgets(in.Settings.budgets()),
+		policy:  in.Settings.policy(),
+		picked:  metrics.NewRegisteredCounter("router.picked", in.Metrics),
+		refused: metrics.NewRegisteredCounter("router.refused", in.Metrics),
+		retried: metrics.NewRegisteredCounter("router.retries_allowed", in.Metrics),
+		denied:  metrics.NewRegisteredCounter("router.retries_denied", in.Metrics),
+	}
+	return kernel.Duty{
+		Name: "router", Owns: "in-flight counts, endpoint statistics, caller limits, retry budgets",
+		In: []string{pickRing, outcomeRing, retryRing}, Out: []string{sampleRing},
+		Run: d.run,
+	}
+}
+
+func (d *duty) run(ctx context.Context) error {
+	sweep := time.NewTicker(expiry)
+	defer sweep.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case ask := <-d.in.Picks.C():
+			d.pick(ask, time.Now())
+		case f := <-d.in.Outcomes.C():
+			d.finish(ctx, &f, time.Now())
+		case ask := <-d.in.Retries.C():
+			d.judge(ask, time.Now())
+		case now := <-sweep.C:
+			d.budgets.Expire(now)
+		}
+	}
+}
+
+// pick answers with an endpoint. Whatever it reserved is returned when the
+// choice fails or the asker has left.
+func (d *duty) pick(ask kernel.Ask[port.Pick, mesh.Target], now time.Time) {
+	if ask.Closed() {
+		return
+	}
+	q := &ask.Query
+	if err := d.reserve(q, now); err != nil {
+		d.refused.Inc(1)
+		ask.Fail(err)
+		return
+	}
+	target, err := d.choose(q, now)
+	if err != nil {
+		d.refused.Inc(1)
+		d.unreserve(q, now)
+		ask.Fail(err)
+		return
+	}
+	d.router.Begin(target, now)
+	if !ask.Answer(target) {
+		d.router.Cancel(target)
+		d.unreserve(q, now)
+		return
+	}
+	d.picked.Inc(1)
+}
+
+// reserve takes the caller's place for a first attempt and charges the budget
+// for a retry.
+func (d *duty) reserve(q *port.Pick, now time.Time) error {
+	if !q.Call.Deadline.After(now) {
+		return result.DeadlineBefore.Err()
+	}
+	id := q.Call.Caller
+	record, declared := d.caller(id)
+	if q.Retried && !d.budgets.Spend(id, now) {
+		return result.RetryBudgetSpent.Errorf("the retry budget of caller %q is spent", id)
+	}
+	if !q.First {
+		return nil
+	}
+	places := 0
+	if declared {
+		places = record.InFlight
+	}
+	if err := d.callers.Acquire(id, places); err != nil {
+		return err
+	}
+	d.budgets.Call(id, record.RetryPercent, now)
+	return nil
+}
+
+func (d *duty) unreserve(q *port.Pick, now time.Time) {
+	if q.Retried {
+		d.budgets.Refund(q.Call.Caller, now)
+	}
+	if q.First {
+		d.callers.Release(q.Call.Caller)
+	}
+}
+
+// caller returns the limits of a caller; without a record, the default share
+// of retries.
+func (d *duty) caller(id mesh.CallerID) (record mesh.CallerV1, declared bool) {
+	if snapshot := d.in.Snapshot.Load(); snapshot != nil {
+		if record, declared = snapshot.Callers[id]; declared {
+			return record, true
+		}
+	}
+	return mesh.CallerV1{RetryPercent: retry.DefaultPercent}, false
+}
+
+func (d *duty) choose(q *port.Pick, now time.Time) (mesh.Target, error) {
+	d.router.Observe(d.in.View.Load())
+	var splits *mesh.Splits
+	if d.in.Splits != nil {
+		splits = d.in.Splits.Load()
+	}
+	draw := q.Draw
+	if draw == 0 {
+		draw = routing.CallDraw(d.seed, &q.Call)
+	}
+	return d.router.Pick(&routing.Query{Call: &q.Call, Tried: q.Tried, Draw: draw}, splits, d.rnd, now)
+}
+
+func (d *duty) finish(ctx context.Context, f *port.Finished, now time.Time) {
+	if !f.NoAttempt {
+		d.router.End(f.Outcome, now)
+		if d.in.Samples != nil {
+			_ = d.in.Samples.Send(ctx, f.Outcome) // replaces the oldest, never fails
+		}
+	}
+	if f.CallEnded {
+		d.callers.Release(f.Outcome.Caller)
+	}
+}
+
+func (d *duty) judge(ask kernel.Ask[port.MayRetry, port.RetryVerdict], now time.Time) {
+	q := &ask.Query
+	v := d.policy.Judge(&retry.Attempt{
+		Call: &q.Call, Outcome: &q.Outcome, Made: q.Attempts,
+		RetriedBelow: q.RetriedBelow, RetriedAbove: q.RetriedAbove,
+		Expected: d.router.Expected(q.Call.Service),
+	}, d.budgets, d.rnd.Float64(), now)
+	if v.Retry {
+		d.retried.Inc(1)
+	} else {
+		d.denied.Inc(1)
+	}
+	ask.Answer(port.RetryVerdict{Retry: v.Retry, Wait: v.Wait, Mark: v.Mark, Why: string(v.Why)})
+}
--- /dev/null
+++ b/plugins/callslots/slots_test.go
@@ -0,0 +1,185 @@
+package callslots
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/fx"
+
+	"teaselring/kernel"
+	"teaselring/mesh"
+	"teaselring/port"
+	"teaselring/result"
+	"teaselring/wire"
+)
+
+const incarnation = mesh.Incarnation(7)
+
+// node is the plug-in running in an application of its own.
+type node struct {
+	Admits   *port.AdmitRing
+	Releases *port.ReleaseRing
+	Settles  *port.SettleRing
+	Crashes  *port.CrashInbox
+	Load     *port.LoadCell
+	Pushes   *port.PushRing
+	Audit    *port.AuditRing
+	local    port.LocalCell
+}
+
+func startNode(queueWait string) *node {
+	settings := "[call.slots]\ndrain_grace = \"0s\"\nqueue_wait = \"" + queueWait + "\"\n"
+	parsed, err := kernel.Parse("test.toml", []byte(settings))
+	Expect(err).NotTo(HaveOccurred())
+	n := &node{}
+	view, snapshot := new(port.ViewCell), new(port.SnapshotCell)
+	view.Store(&mesh.View{Self: "a", Members: []mesh.Member{{Node: "a", Incarnation: incarnation}}})
+	snapshot.Store(&mesh.Snapshot{Services: map[mesh.ServiceID]mesh.Service{"stock": {Slots: 1, Queue: 1}}})
+	app := fx.New(
+		kernel.Options(parsed, kernel.NewLogger(io.Discard)),
+		fx.Supply(view, snapshot, &n.local),
+		kernel.ProvideRing[port.Push]("links.push", 8, kernel.ReplaceOldest),
+		kernel.ProvideRing[port.AuditEntry]("audit.entries", 8, kernel.WaitUntilDeadline),
+		fx.Populate(&n.Admits, &n.Releases, &n.Settles, &n.Crashes, &n.Load, &n.Pushes, &n.Audit),
+	)
+	Expect(app.Start(context.Background())).To(Succeed())
+	DeferCleanup(func() { Expect(app.Stop(context.Background())).To(Succeed()) })
+	return n
+}
+
+func (n *node) announce(process string, state mesh.EndpointState) {
+	n.local.Store(&port.Local{
+		Endpoint: mesh.Endpoint{Service: "stock", Version: "v1", Slots: 6, State: state, Process: process},
+		Address:  netip.MustParseAddrPort("127.0.0.1:9000"),
+	})
+}
+
+func admitOf(id mesh.AttemptID) port.Admit {
+	return port.Admit{Attempt: id, Incarnation: incarnation, Version: "v1", Call: mesh.Call{
+		Service: "stock", Class: mesh.ClassRead, Deadline: time.Now().Add(time.Minute), Fingerprint: 99,
+	}}
+}
+
+var _ = Describe("call.slots", func() {
+	ctx := context.Background()
+	var n *node
+	BeforeEach(func() {
+		n = startNode("10s")
+		n.announce("p1", mesh.EndpointReady)
+	})
+	admit := func(ctx context.Context, a port.Admit) error {
+		_, err := kernel.Do(ctx, n.Admits, a)
+		return err
+	}
+	release := func(r port.Released) { Expect(n.Releases.Send(ctx, r)).To(Succeed()) }
+	// wait sends an Admit that has to queue and returns where its error arrives.
+	wait := func(ctx context.Context, a port.Admit) chan error {
+		done := make(chan error, 1)
+		go func() { done <- admit(ctx, a) }()
+		Eventually(func() int { return n.Load.Load().Queued }).Should(Equal(1))
+		return done
+	}
+	settle := func(id mesh.AttemptID, life mesh.Incarnation) bool {
+		s, err := kernel.Do(ctx, n.Settles, port.Settle{Attempt: id, Incarnation: life})
+		Expect(err).NotTo(HaveOccurred())
+		return s.NotRun
+	}
+
+	It("starts a waiting attempt when a slot is free", func() {
+		admitted, err := kernel.Do(ctx, n.Admits, admitOf("1"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(admitted.Process).To(Equal("p1"))
+		Expect(admitted.Load).To(Equal(mesh.Load{InFlight: 1, Limit: 1}))
+		done := wait(ctx, admitOf("2"))
+		Expect(result.Of(admit(ctx, admitOf("3")))).To(Equal(result.QueueFull))
+		release(port.Released{Attempt: "1", Status: 200})
+		Eventually(done).Should(Receive(BeNil()))
+	})
+
+	It("refuses a waiting attempt at its queue deadline", func() {
+		n = startNode("50ms")
+		n.announce("p1", mesh.EndpointReady)
+		Expect(admit(ctx, admitOf("1"))).To(Succeed())
+		err := admit(ctx, admitOf("2"))
+		Expect(result.Of(err)).To(Equal(result.QueueTimeout))
+		Expect(settle("2", incarnation)).To(BeTrue())
+	})
+
+	It("never starts an attempt whose asker left, and gives its place to another", func() {
+		Expect(admit(ctx, admitOf("1"))).To(Succeed())
+		left, cancel := context.WithCancel(ctx)
+		done := wait(left, admitOf("2"))
+		cancel()
+		Eventually(done).Should(Receive(HaveOccurred()))
+		done = make(chan error, 1)
+		go func() { done <- admit(ctx, admitOf("3")) }()
+		Consistently(done, 50*time.Millisecond).ShouldNot(Receive())
+		release(port.Released{Attempt: "1", Status: 200})
+		Eventually(done).Should(Receive(BeNil()))
+		Expect(settle("2", incarnation)).To(BeTrue())
+	})
+
+	It("settles truthfully: begun, waiting, unknown and of an earlier life", func() {
+		Expect(admit(ctx, admitOf("1"))).To(Succeed())
+		Expect(settle("1", incarnation)).To(BeFalse())
+		Expect(result.Of(admit(ctx, admitOf("1")))).To(Equal(result.AttemptDuplicate))
+		done := wait(ctx, admitOf("2"))
+		Expect(settle("2", incarnation)).To(BeTrue())
+		Expect(result.Of(<-done)).To(Equal(result.Fenced))
+		Expect(settle("3", incarnation)).To(BeTrue())
+		Expect(result.Of(admit(ctx, admitOf("3")))).To(Equal(result.Fenced))
+		Expect(settle("4", incarnation-1)).To(BeFalse())
+		old := admitOf("5")
+		old.Incarnation--
+		Expect(result.Of(admit(ctx, old))).To(Equal(result.WrongIncarnation))
+	})
+
+	DescribeTable("refuses work for an upstream that is not the chosen one",
+		func(change func(*port.Admit)) {
+			a := admitOf("1")
+			change(&a)
+			Expect(result.Of(admit(ctx, a))).To(Equal(result.Draining))
+			Expect(settle("1", incarnation)).To(BeTrue())
+		},
+		Entry("another version", func(a *port.Admit) { a.Version = "v2" }),
+		Entry("another service", func(a *port.Admit) { a.Call.Service = "billing" }),
+		Entry("draining", func(*port.Admit) { n.announce("p1", mesh.EndpointDraining) }),
+		Entry("gone", func(*port.Admit) { n.announce("p1", mesh.EndpointGone) }),
+		Entry("starting", func(*port.Admit) { n.announce("p1", mesh.EndpointStarting) }),
+	)
+
+	It("reports a crash to all nodes and quarantines the request after the second one", func() {
+		Expect(n.Crashes.Send(ctx, mesh.Crash{Service: "stock", Node: "b", Process: "q1", Fingerprints: []uint64{99, 5}})).To(Succeed())
+		Eventually(n.Pushes.C()).Should(Receive(), "a new report of another node is passed on")
+		Expect(admit(ctx, admitOf("1"))).To(Succeed())
+		release(port.Released{Attempt: "1", Lost: true})
+		Eventually(func() int { return n.Load.Load().InFlight }).Should(BeZero())
+		n.announce("p2", mesh.EndpointReady)
+
+		var push port.Push
+		Eventually(n.Pushes.C()).Should(Receive(&push))
+		crash := push.Message.(wire.Quarantine).Crash
+		Expect(crash.Node).To(BeEquivalentTo("a"))
+		Expect(crash.Process).To(Equal("p1"))
+		Expect(crash.Fingerprints).To(ConsistOf(uint64(99)))
+		var entry port.AuditEntry
+		Eventually(n.Audit.C()).Should(Receive(&entry))
+		Expect(entry.Action).To(Equal("quarantine"))
+		Expect(entry.Code).To(Equal(result.Quarantined.Number))
+		Expect(result.Of(admit(ctx, admitOf("2")))).To(Equal(result.Quarantined))
+		harmless := admitOf("3")
+		harmless.Call.Fingerprint = 5
+		Expect(admit(ctx, harmless)).To(Succeed())
+	})
+
+	It("reports no crash when a process ends without losing a call", func() {
+		Expect(admit(ctx, admitOf("1"))).To(Succeed())
+		release(port.Released{Attempt: "1", Status: 200})
+		n.announce("p2", mesh.EndpointReady)
+		Consistently(n.Pushes.C(), time.Second).ShouldNot(Receive())
+	})
+})
--- a/port/calls.go
+++ b/port/calls.go
@@ -109,3 +109,7 @@
 
 // SettleRing leads from the peers' edge to the slots duty.
 type SettleRing = kernel.Ring[kernel.Ask[Settle, Settled]]
+
+// LoadCell holds the load of the local upstream for the header Teasel-Load.
+// Its owner is the slots duty; nil before the first call.
+type LoadCell = kernel.Cell[mesh.Load]
