--- a/cmd/teaselctl/main.go
+++ b/cmd/teaselctl/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -55,6 +56,7 @@
 	stderr  io.Writer
 	address string
 	token   string
+	name    string
 	output  string
 	timeout time.Duration
 }
@@ -85,6 +87,7 @@
 	flags := root.PersistentFlags()
 	flags.StringVar(&c.address, "address", "", "operators' address of any node, IP:port (or env TEASELCTL_ADDRESS)")
 	flags.StringVar(&c.token, "token", "", "operator's token (or env TEASELCTL_TOKEN)")
+	flags.StringVar(&c.name, "operator", "", "your name for the audit trail (or env TEASELCTL_OPERATOR, or USER)")
 	flags.StringVarP(&c.output, "output", "o", "table", "table or json")
 	flags.DurationVar(&c.timeout, "timeout", defaultTimeout, "longest time to wait")
 	root.PersistentPreRunE = func(*cobra.Command, []string) error {
@@ -130,6 +133,7 @@
 		return nil, fmt.Errorf("address %q is not allowed; allowed is the IP:port of a node's operators' listener", address)
 	}
 	client := operator.New(parsed, token)
+	client.Name = cmp.Or(c.name, c.env("TEASELCTL_OPERATOR"), c.env("USER"))
 	client.Progress = func(message string) { fmt.Fprintln(c.stderr, message) }
 	return client, nil
 }
--- a/cmd/teaselctl/nodes.go
+++ b/cmd/teaselctl/nodes.go
@@ -72,4 +72,7 @@
 			t.row(e.Sequence, "", "", fmt.Sprintf("%d entries before this one were dropped", e.Lost))
 		}
 	}
+	for _, gap := range answer.Gaps {
+		t.row(gap.From, "", "", fmt.Sprintf("entries %d to %d are missing", gap.From, gap.To))
+	}
 }
--- a/operator/api.go
+++ b/operator/api.go
@@ -29,6 +29,10 @@
 // HeaderVersion is the configuration version of the records in an answer.
 const HeaderVersion = "Teasel-Version"
 
+// HeaderOperator names the sender of a request for the audit trail. It is a
+// statement of the holder of the token, not a proof.
+const HeaderOperator = "X-Operator"
+
 // ContentTOML is the media type of records.
 const ContentTOML = "application/toml"
 
@@ -179,6 +183,14 @@
 // AuditResponse answers PathAudit, in order of sequence.
 type AuditResponse struct {
 	Entries []AuditEntry `json:"entries"`
+	Gaps    []AuditGap   `json:"gaps,omitempty"`
+	More    bool         `json:"more,omitempty"` // entries follow the last one
+}
+
+// AuditGap is a run of sequence numbers that the stream lacks.
+type AuditGap struct {
+	From uint64 `json:"from"` // first missing
+	To   uint64 `json:"to"`   // last missing
 }
 
 // AuditEntry has the fields of port.AuditEntry, which converts to it. It is
--- a/operator/transport.go
+++ b/operator/transport.go
@@ -49,6 +49,8 @@
 	base  string
 	token string
 	http  *http.Client
+	// Name is who sends the requests, for the audit trail; empty: unnamed.
+	Name string
 	// Progress is told what a method waits for; nil: nobody is told.
 	Progress func(message string)
 }
@@ -89,6 +91,9 @@
 		return answer{}, result.BadRequest.Errorf("%v", err)
 	}
 	request.Header.Set("Authorization", "Bearer "+c.token)
+	if c.Name != "" {
+		request.Header.Set(HeaderOperator, c.Name)
+	}
 	if len(body) > 0 {
 		request.Header.Set("Content-Type", contentType)
 	}
--- a/plugins/audittrail/audit.go
+++ b/plugins/audittrail/audit.go
@@ -148,7 +148,7 @@
 // the platform will never accept it.
 func (w *writer) retry(err error) bool {
 	code := result.Of(err)
-	w.Logger.Warn().Str("node", string(w.Self.Node)).Int("code", code.Number).Err(err).Msg("audit entries not written")
+	w.Logger.Warn().Int("code", code.Number).Err(err).Msg("audit entries not written")
 	switch code {
 	case result.PlatformDown, result.PlatformUnknown, result.PlatformLimit, result.RowConflict, result.Internal:
 		w.retries.Inc(1)
@@ -208,7 +208,7 @@
 			return
 		}
 	}
-	w.Logger.Warn().Str("node", string(w.Self.Node)).Int("entries", len(w.journal.batch)+w.Entries.Len()).Msg("audit entries lost at shutdown")
+	w.Logger.Warn().Int("entries", len(w.journal.batch)+w.Entries.Len()).Msg("audit entries lost at shutdown")
 }
 
 func (w *writer) drain() {
--- a/plugins/configsource/head_reader.go
+++ b/plugins/configsource/head_reader.go
@@ -140,12 +140,8 @@
 	}
 	r.failing = failed
 	if failed {
-		r.entry(r.Logger.Warn()).Int("code", result.Of(report.Err).Number).Err(report.Err).Msg("head can't be read")
+		r.Logger.Warn().Int("code", result.Of(report.Err).Number).Err(report.Err).Msg("head can't be read")
 		return
 	}
-	r.entry(r.Logger.Info()).Uint64("version", uint64(report.Head.Version)).Msg("head can be read again")
-}
-
-func (r *headReader) entry(e *log.Entry) *log.Entry {
-	return e.Str("node", string(r.Self.Node)).Str("zone", string(r.Self.Zone))
+	r.Logger.Info().Uint64("version", uint64(report.Head.Version)).Msg("head can be read again")
 }
--- a/plugins/configsource/publisher.go
+++ b/plugins/configsource/publisher.go
@@ -100,7 +100,7 @@
 	} else if !q.DryRun {
 		p.published.Inc(1)
 	}
-	entry.Str("node", string(p.Self.Node)).Str("zone", string(p.Self.Zone)).Uint64("version", uint64(published.Version)).
+	entry.Uint64("version", uint64(published.Version)).
 		Str("publication", q.Publication).Str("by", q.By).Bool("dry_run", q.DryRun).Msg("publication")
 	return published, err
 }
--- a/plugins/configstore/config.go
+++ b/plugins/configstore/config.go
@@ -242,5 +242,5 @@
 }
 
 func (k *keeper) log(entry *log.Entry, v mesh.Version) *log.Entry {
-	return entry.Str("node", string(k.Self.Node)).Str("zone", string(k.Self.Zone)).Uint64("version", uint64(v))
+	return entry.Uint64("version", uint64(v))
 }
--- a/plugins/edgeoperators/handlers.go
+++ b/plugins/edgeoperators/handlers.go
@@ -22,8 +22,7 @@
 }
 
 // require refuses requests whose token does not allow the role. The name in the
-// X-Operator header goes to the audit trail; it is a statement of the holder of
-// the token, not a proof.
+// operator header goes to the audit trail.
 func (o *operators) require(needed port.Role) gin.HandlerFunc {
 	return func(c *gin.Context) {
 		role := o.roleOf(c.GetHeader("Authorization"))
@@ -64,7 +63,7 @@
 }
 
 func operatorName(c *gin.Context, role port.Role) string {
-	name := c.GetHeader("X-Operator")
+	name := c.GetHeader(operator.HeaderOperator)
 	if name == "" || len(name) > 64 {
 		name = "unnamed"
 	}
--- a/plugins/operatorsapi/status.go
+++ b/plugins/operatorsapi/status.go
@@ -198,7 +198,7 @@
 	if err != nil {
 		return result.Internal.Errorf("node %s: %v", m.Node, err)
 	}
-	request.Header.Set("X-Operator", by)
+	request.Header.Set(operator.HeaderOperator, by)
 	answer, err := a.in.Peers.Do(request)
 	if err != nil {
 		return result.ConnectionLost.Errorf("node %s: %v", m.Node, err)
@@ -215,7 +215,7 @@
 }
 
 func (a *api) peerDrain(w http.ResponseWriter, r *http.Request) {
-	if err := a.drainLocal(r.Context(), r.Header.Get("X-Operator")); err != nil {
+	if err := a.drainLocal(r.Context(), r.Header.Get(operator.HeaderOperator)); err != nil {
 		port.Refuse(w, err)
 		return
 	}
--- a/test/harness/cluster.go
+++ b/test/harness/cluster.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os/exec"
 	"strings"
 )
 
@@ -128,3 +129,15 @@
 	content, _ := io.ReadAll(answer.Body)
 	return answer.StatusCode, string(content)
 }
+
+// Ctl runs teaselctl against a node and returns its exit code and output.
+func (c *Cluster) Ctl(n *Node, args ...string) (code int, stdout, stderr string) {
+	c.H.tb.Helper()
+	command := exec.Command(c.H.binary("teaselctl"), append(args, "--address", n.Operators, "--token", ChangeToken)...)
+	var out, errOut bytes.Buffer
+	command.Stdout, command.Stderr = &out, &errOut
+	if err := command.Run(); err != nil && command.ProcessState == nil {
+		c.H.tb.Fatalf("teaselctl %v: %v", args, err)
+	}
+	return command.ProcessState.ExitCode(), out.String(), errOut.String()
+}
