--- a/decision/moves/holder.go
+++ b/decision/moves/holder.go
@@ -100,7 +100,8 @@
 func advance(s Settings, row mesh.Move, v *mesh.Verdict, since, now time.Time) (mesh.Move, bool) {
 	plan, index := scheduleOf(&row), rungOf(row.Share)
 	if row.Phase == mesh.MoveWatching {
-		watched := now.Sub(later(since, v.Doubted)) >= plan.minWatch() && !now.Before(plan.finish())
+		watched := now.Sub(since) >= plan.minWatch() && now.Sub(v.Doubted) >= plan.minCalm() &&
+			!now.Before(plan.finish())
 		if !watched || v.Doubt || v.Cuts >= agreeingNodes || v.Good[len(Excesses)-1] < 0 {
 			return row, false
 		}
--- a/decision/moves/schedule.go
+++ b/decision/moves/schedule.go
@@ -29,16 +29,18 @@
 	{share: 0.20, span: 0.10, excess: 1, evidence: 0.5},
 	{share: 0.40, span: 0.09, excess: 2, evidence: 0.65},
 	{share: 0.70, span: 0.08, excess: 3, evidence: 0.8},
-	{share: 1, span: 0.27, excess: 4, evidence: 1},
+	{share: 1, span: 0.22, excess: 4, evidence: 1},
 }
 
 const (
-	// marginPart of the duration is left between done and the target, so
-	// that all nodes hear of done before they would return on their own.
-	marginPart = 0.05
+	// marginPart of the duration is left between done and the target, so that
+	// a doubt just before the end can still be cleared, and that all nodes
+	// hear of done before they would return on their own.
+	marginPart = 0.1
 	minMargin  = 5 * time.Second
 	// A late move may hurry: each rung lasts at least minRungPart, the watch
-	// minWatchPart.
+	// minWatchPart. Half of that is enough after a doubt, because what appears
+	// at full load appears again within seconds.
 	minRungPart  = 0.03
 	minWatchPart = 0.08
 	minRungSpan  = 3 * time.Second
@@ -70,6 +72,7 @@
 }
 
 func (s schedule) minRung() time.Duration  { return max(s.part(minRungPart), minRungSpan) }
+func (s schedule) minCalm() time.Duration  { return s.minWatch() / 2 }
 func (s schedule) minWatch() time.Duration { return max(s.part(minWatchPart), minWatchSpan) }
 
 // earliest is the first time at which a move on a rung since some time can be
--- a/decision/moves/settings.go
+++ b/decision/moves/settings.go
@@ -89,6 +89,6 @@
 // Excesses are the excess failure rates that evidence is gathered against.
 // The larger ones are ruled out with fewer calls and are enough for shares
 // at which the smaller ones do little harm.
-var Excesses = [...]float64{0.08, 0.05, 0.03, 0.015, MeasurableExcess}
+var Excesses = [...]float64{0.08, 0.05, 0.02, 0.0125, MeasurableExcess}
 
 func clamp(v, low, high float64) float64 { return math.Min(math.Max(v, low), high) }
