Weigh and smooth reported load in the router

All entry nodes that acted on one low report met at the same endpoint. Reported load now counts 0.7 of own attempts in flight and is smoothed by 0.5, and the averages of latency and failures follow a new sample by 0.01.

--- a/decision/routing/choose.go
+++ b/decision/routing/choose.go
@@ -100,7 +100,7 @@
 		spill = r.params.RegionSpill
 	}
 	latency, failures := e.history(s.expected, now, r.params.HistoryTrust)
-	return e.load(now, r.params.LoadTrust) < spill*e.capacity() && failures < 0.5 &&
+	return e.load(now, &r.params) < spill*e.capacity() && failures < 0.5 &&
 		(t == sameRegion || latency <= r.params.SlowFactor*s.expected)
 }
 
@@ -138,7 +138,7 @@
 	}
 	call, failures := e.history(expected, now, r.params.HistoryTrust)
 	call *= 1 + r.params.FailureCost*failures
-	load := e.load(now, r.params.LoadTrust)
+	load := e.load(now, &r.params)
 	return float64(way) + call*(1+pressure(load, e.capacity()))
 }
 
--- a/decision/routing/endpoint.go
+++ b/decision/routing/endpoint.go
@@ -50,15 +50,17 @@
 
 // report takes over a reported load. It is called while the attempt is still
 // counted, since the report counts it too. The values are bounded because an
-// upstream may report anything.
-func (e *endpoint) report(load *mesh.Load, now time.Time) {
+// upstream may report anything, and smoothed because all entry nodes that acted
+// on one low report would meet at the same endpoint.
+func (e *endpoint) report(load *mesh.Load, now time.Time, p *Params) {
 	if load == nil {
 		return
 	}
 	slots := e.slots()
 	e.limit = min(max(load.Limit, 1), slots)
 	total := min(max(load.InFlight, 0), slots) + min(max(load.Queued, 0), maxQueue)
-	e.others = math.Max(0, float64(total-e.inFlight))
+	old := e.othersNow(now, p)
+	e.others = old + p.ReportSmoothing*(math.Max(0, float64(total-e.inFlight))-old)
 	e.reported = now
 }
 
@@ -75,14 +77,18 @@
 	return float64(e.slots())
 }
 
-// load is the estimated number of attempts at the endpoint: the own ones, and
-// those of others with a weight that falls with the age of the report.
-func (e *endpoint) load(now time.Time, trust time.Duration) float64 {
+// load is the estimated number of attempts at the endpoint. The own ones count
+// in full, those of others less, since reports lag.
+func (e *endpoint) load(now time.Time, p *Params) float64 {
+	return float64(e.inFlight) + p.ReportWeight*e.othersNow(now, p)
+}
+
+// othersNow is the reported load, less the older the report is.
+func (e *endpoint) othersNow(now time.Time, p *Params) float64 {
 	if e.others == 0 {
-		return float64(e.inFlight)
+		return 0
 	}
-	age := now.Sub(e.reported)
-	return float64(e.inFlight) + e.others*math.Exp(-float64(age)/float64(trust))
+	return e.others * math.Exp(-float64(now.Sub(e.reported))/float64(p.LoadTrust))
 }
 
 // learn updates averages and penalties from an outcome.
@@ -92,7 +98,7 @@
 		e.strike(now, p)
 		return
 	case shed(o):
-		e.full(now)
+		e.full(now, p)
 	case answered(o):
 		e.latency = average(e.latency, float64(o.Duration), p.Smoothing)
 		e.recover(now)
@@ -129,8 +135,8 @@
 
 // full records that the endpoint refused a call under load, which the last
 // report may contradict.
-func (e *endpoint) full(now time.Time) {
-	e.others = math.Max(e.others, e.capacity()-float64(e.inFlight))
+func (e *endpoint) full(now time.Time, p *Params) {
+	e.others = math.Max(e.othersNow(now, p), (e.capacity()-float64(e.inFlight))/p.ReportWeight)
 	e.reported = now
 }
 
--- a/decision/routing/router.go
+++ b/decision/routing/router.go
@@ -21,6 +21,10 @@
 	// SlowFactor is the ratio of an endpoint's time of an answer to that of its
 	// service from which endpoints outside the zone are compared as well.
 	SlowFactor float64
+	// ReportWeight is the weight of reported load against own attempts in
+	// flight, ReportSmoothing that of a new report against the last ones.
+	ReportWeight    float64
+	ReportSmoothing float64
 	// LoadTrust is the time in which a reported load loses most of its weight.
 	LoadTrust time.Duration
 	// HistoryTrust is the same for averages of an endpoint that gets no calls.
@@ -40,12 +44,13 @@
 
 // DefaultParams returns the values used in production. The cost of a zone is
 // the round trip of both deployments (0.5 ms one way); ZoneSpill, SlowFactor,
-// LoadTrust and Smoothing were chosen with test/measure/routing.
+// the weights and LoadTrust were chosen with test/measure/routing.
 func DefaultParams() Params {
 	return Params{
 		RegionCost: time.Millisecond, RemoteCost: 60 * time.Millisecond,
 		ZoneSpill: 0.25, RegionSpill: 0.9, SlowFactor: 1.25,
-		LoadTrust: 500 * time.Millisecond, HistoryTrust: 10 * time.Second, Smoothing: 0.02, FailureCost: 10,
+		ReportWeight: 0.7, ReportSmoothing: 0.5, LoadTrust: 500 * time.Millisecond,
+		HistoryTrust: 10 * time.Second, Smoothing: 0.01, FailureCost: 10,
 		PenaltyBase: 100 * time.Millisecond, PenaltyMax: 5 * time.Second, TrialLease: 5 * time.Second,
 	}
 }
@@ -160,7 +165,7 @@
 	if e == nil {
 		return
 	}
-	e.report(o.Load, now)
+	e.report(o.Load, now, &r.params)
 	e.leave()
 	e.learn(&o, now, &r.params)
 	if s := r.byName[o.Target.Service]; s != nil && answered(&o) {
