Measure added time, goodput, connections and large bodies through real processes

Change: test/measure/calls with a harness for mains and open-loop load; the stand-in upstream answers /digest without holding the body.

--- a/Makefile
+++ b/Makefile
@@ -11,3 +11,10 @@
 
 lint:
 	bash tools/lint.sh
+
+measure:
+	go run ./test/measure/calls
+	go run ./test/measure/calls -sizes 6 -big
+
+measure-convergence:
+	go run ./test/measure/convergence
--- a/test/measure/bench/main.go
+++ b/test/measure/bench/main.go
@@ -8,6 +8,8 @@
 	"os"
 	"os/signal"
 	"runtime"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -122,3 +124,16 @@
 		"note": "loopback only; whatever else ran on the machine is part of the figures",
 	})
 }
+
+// Numbers parses a list of positive numbers with commas between them.
+func Numbers(list string) ([]int, error) {
+	var all []int
+	for _, text := range strings.Split(list, ",") {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 {
+			return nil, fmt.Errorf("%q is not a list of positive numbers", list)
+		}
+		all = append(all, n)
+	}
+	return all, nil
+}
--- a/test/measure/bench/metrics.go
+++ b/test/measure/bench/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -31,3 +32,15 @@
 	}
 	return values
 }
+
+// Publish applies records through the first node as soon as it listens. A node
+// is not ready before it has a configuration.
+func Publish(c *harness.Cluster, publication, records string) {
+	c.H.Until("the records to be applied", func() error {
+		status, body := c.Apply(c.Nodes[0], publication, records)
+		if status != http.StatusOK {
+			return fmt.Errorf("status %d: %s", status, body)
+		}
+		return nil
+	})
+}
--- a/test/measure/calls/main.go
+++ b/test/measure/calls/main.go
@@ -8,8 +8,6 @@
 	"flag"
 	"fmt"
 	"os"
-	"strconv"
-	"strings"
 	"time"
 
 	"teaselring/test/harness"
@@ -30,18 +28,18 @@
 
 func main() {
 	flag.Parse()
+	slots, err := bench.Numbers(*sizes)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "-sizes: %v\n", err)
+		os.Exit(2)
+	}
+	if *big {
+		slots = slots[:1]
+	}
 	os.Exit(bench.Run(limit, func(h *harness.Harness) {
 		bench.EmitMachine("load generator, 12 nodes, 12 upstreams and the platform stand-in, on one machine")
-		for _, text := range strings.Split(*sizes, ",") {
-			slots, err := strconv.Atoi(text)
-			if err != nil {
-				fmt.Fprintf(os.Stderr, "-sizes: %v\n", err)
-				os.Exit(2)
-			}
-			measure(h, slots)
-			if *big {
-				return
-			}
+		for _, n := range slots {
+			measure(h, n)
 		}
 	}))
 }
--- a/test/measure/calls/mesh.go
+++ b/test/measure/calls/mesh.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"teaselring/test/harness"
@@ -37,8 +38,8 @@
 		m.upstreams = append(m.upstreams, h.StartUpstream("upstream-of-"+n.Name, services[i/perService], "v1",
 			n.Announce, "-slots", strconv.Itoa(slots)))
 	}
-	m.cluster.WaitReady()
 	m.apply()
+	m.cluster.WaitReady()
 	for i, u := range m.upstreams {
 		r := request{method: http.MethodGet, url: "http://" + u.Address + "/process"}.send(time.Now())
 		m.process[r.process] = i
@@ -48,10 +49,7 @@
 
 // apply publishes the records and waits until every node serves all services.
 func (m *mesh) apply() {
-	status, body := m.cluster.Apply(m.cluster.Nodes[0], "measure", m.records())
-	if status != http.StatusOK {
-		panic(fmt.Sprintf("applying the records: %d %s", status, body))
-	}
+	bench.Publish(m.cluster, "measure", m.records())
 	for _, n := range m.cluster.Nodes {
 		m.cluster.H.Until("calls and members at "+n.Name, func() error {
 			if alive := bench.Metrics(n)["members.alive"]; int(alive) != len(m.cluster.Nodes) {
@@ -85,7 +83,7 @@
 
 func route(service, class, prefix string, timeout time.Duration) string {
 	return fmt.Sprintf("[[record]]\nkind = \"route\"\nid = %q\nschema = 2\npath_prefix = %q\nservice = %q\nclass = %q\ntimeout = %q\n",
-		service+"-"+class+"-"+prefix[1:2], prefix, service, class, timeout)
+		strings.ReplaceAll(prefix[1:], "/", "-"), prefix, service, class, timeout)
 }
 
 func (m *mesh) stop() {
--- a/test/upstream/handler.go
+++ b/test/upstream/handler.go
@@ -31,8 +31,9 @@
 		load := standin.Query(r.Context(), b, (*state).load)
 		standin.WriteJSON(w, http.StatusOK, map[string]int{"in_flight": load, "slots": *slots})
 	})
-	mux.HandleFunc("/stream", h.call(stream))
-	mux.HandleFunc("/", h.call(echo))
+	mux.HandleFunc("/stream", h.call(whole, stream))
+	mux.HandleFunc("/digest", h.call(hashed, plain))
+	mux.HandleFunc("/", h.call(whole, echo))
 	return mux
 }
 
@@ -46,7 +47,7 @@
 
 // call runs one call as planned and journals it. The line of the beginning is
 // in the file before any work, so a crash leaves it there.
-func (h *handler) call(answer func(http.ResponseWriter, *http.Request, []byte)) http.HandlerFunc {
+func (h *handler) call(read reader, answer func(http.ResponseWriter, *http.Request, []byte)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		ctx := r.Context()
 		unending := context.WithoutCancel(ctx)
@@ -72,8 +73,8 @@
 			line.Cancelled = line.Cancelled || ctx.Err() != nil
 			h.journal.Write(unending, line)
 		}()
-		body, err := io.ReadAll(r.Body)
-		line.Bytes = len(body)
+		body, size, err := read(r.Body)
+		line.Bytes = size
 		if err != nil || !standin.Wait(ctx, p.delay) {
 			line.Cancelled = true
 			panic(http.ErrAbortHandler)
@@ -89,6 +90,24 @@
 	}
 }
 
+// reader reads the body of a request and returns what the answer is made of and
+// the number of bytes read.
+type reader func(io.Reader) (body []byte, size int, err error)
+
+func whole(r io.Reader) ([]byte, int, error) {
+	body, err := io.ReadAll(r)
+	return body, len(body), err
+}
+
+// hashed keeps only the hash, for bodies that do not fit into memory.
+func hashed(r io.Reader) ([]byte, int, error) {
+	sum := sha256.New()
+	n, err := io.Copy(sum, r)
+	return []byte(hex.EncodeToString(sum.Sum(nil))), int(n), err
+}
+
+func plain(w http.ResponseWriter, _ *http.Request, body []byte) { _, _ = w.Write(body) }
+
 // echo answers with the body of the request and its hash. A request without a
 // body is answered with its method and URI, so that answers of different
 // requests differ.
