--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 .PHONY: build demo test lint measure measure-moves measure-convergence
 
 build:
-	go build -o bin/ ./cmd/...
+	go build -o bin/ ./cmd/... ./test/platform ./test/upstream
 
 demo:
 	go run ./cmd/teasel-demo
@@ -18,3 +18,6 @@
 
 measure-convergence:
 	go run ./test/measure/convergence
+
+measure-moves:
+	go run ./test/measure/moves -scenarios test/measure/moves/scenarios.toml
