--- a/plugins/movesguard/setup.go
+++ b/plugins/movesguard/setup.go
@@ -1,11 +1,10 @@
-// Package movesguard is the plug-in "moves.guard": the local layer of moves,
-// which divides the calls of each service and cuts a bad version by itself.
+// Package movesguard runs the local layer of moves: it divides the calls of
+// services during moves and cuts bad upstream versions by itself.
 package movesguard
 
 import (
 	"time"
 
-	"github.com/phuslu/log"
 	"go.uber.org/fx"
 
 	"teaselring/decision/moves"
@@ -14,11 +13,16 @@
 	"teaselring/port"
 )
 
-// Settings are the table [moves.guard] of a settings file.
+// Settings are the table [moves.guard] of a settings file. The decisions of
+// moves.holder use the same weight and least watch period.
 type Settings struct {
 	Weight   float64         `toml:"weight" comment:"cost of missing a bad version divided by the cost of delaying a good one, 0.1 to 100; sock office 1, licence mesh 10"`
 	MinWatch kernel.Duration `toml:"min_watch" comment:"least time at full share before a move is done, 3s to 24h"`
-	Window   kernel.Duration `toml:"window" comment:"length of a window of evidence, 100ms to 10s"`
+	Interval kernel.Duration `toml:"interval" comment:"length of a window of evidence, 500ms to 3s"`
+}
+
+func (s *Settings) decisions() moves.Settings {
+	return moves.Settings{Weight: s.Weight, MinWatch: s.MinWatch.Duration}
 }
 
 // Validate checks the ranges.
@@ -29,51 +33,39 @@
 	if err := kernel.SpanInRange("min_watch", s.MinWatch, 3*time.Second, 24*time.Hour); err != nil {
 		return err
 	}
-	return kernel.SpanInRange("window", s.Window, 100*time.Millisecond, 10*time.Second)
+	return kernel.SpanInRange("interval", s.Interval, 500*time.Millisecond, 3*time.Second)
 }
 
+// Capacities of the rings, in items.
+const (
+	samplesCapacity = 4096 // about 30 ms of the calls of a whole mesh at full scale
+	inboxCapacity   = 1024
+	heldCapacity    = 16
+)
+
 func init() {
 	kernel.Register(kernel.Plugin{
 		Name: "moves.guard",
-		Doc:  "Divides calls between old and new versions and cuts a bad version by itself.",
+		Doc:  "Divides calls during moves and cuts bad upstream versions.",
 		Settings: func() kernel.Validator {
 			return &Settings{
-				Weight: moves.SockOffice.Weight, MinWatch: kernel.Span(moves.DefaultMinWatch), Window: kernel.Span(time.Second),
+				Weight: moves.SockOffice.Weight, MinWatch: kernel.Span(moves.DefaultMinWatch), Interval: kernel.Span(time.Second),
 			}
 		},
-		Module: module,
+		Module: func(v kernel.Validator) fx.Option {
+			return fx.Options(
+				fx.Supply(v.(*Settings), v.(*Settings).decisions()),
+				kernel.ProvideRing[mesh.Outcome]("guard.samples", samplesCapacity, kernel.ReplaceOldest),
+				kernel.ProvideRing[port.MovesIn]("guard.inbox", inboxCapacity, kernel.Refuse),
+				kernel.ProvideRing[port.HeldMoves]("guard.held", heldCapacity, kernel.ReplaceOldest),
+				fx.Provide(
+					func() *port.SplitsCell { return &port.SplitsCell{} },
+					func() *port.MovesCell { return &port.MovesCell{} },
+					func() *port.EvidenceCell { return &port.EvidenceCell{} },
+					func() *port.VerdictsCell { return &port.VerdictsCell{} },
+				),
+				kernel.ProvideDuty(newDuty),
+			)
+		},
 	})
 }
-
-func module(v kernel.Validator) fx.Option {
-	s := v.(*Settings)
-	return fx.Options(
-		fx.Supply(moves.Settings{Weight: s.Weight, MinWatch: s.MinWatch.Duration}),
-		fx.Provide(
-			func() *port.SplitsCell { return new(port.SplitsCell) },
-			func() *port.MovesCell { return new(port.MovesCell) },
-			func() *port.EvidenceCell { return new(port.EvidenceCell) },
-			func() *port.VerdictCell { return new(port.VerdictCell) },
-		),
-		kernel.ProvideRing[mesh.Outcome]("guard.samples", 4096, kernel.ReplaceOldest),
-		kernel.ProvideRing[port.MovesIn]("guard.messages", 1024, kernel.Refuse),
-		kernel.ProvideRing[port.HeldMoves]("guard.held", 16, kernel.ReplaceOldest),
-		kernel.ProvideDuty(func(in dutyIn) kernel.Duty { return newDuty(s, in) }),
-	)
-}
-
-type dutyIn struct {
-	fx.In
-	Identity mesh.Identity
-	Logger   *log.Logger
-	Settings moves.Settings
-	Samples  *port.SampleRing
-	Messages *port.MovesInbox
-	Held     *port.HeldMovesRing
-	View     *port.ViewCell
-	Splits   *port.SplitsCell
-	Moves    *port.MovesCell
-	Evidence *port.EvidenceCell
-	Verdicts *port.VerdictCell
-	Push     *port.PushRing `optional:"true"`
-}
--- a/plugins/movesholder/rows.go
+++ b/plugins/movesholder/rows.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net/url"
 	"time"
 
 	"teaselring/mesh"
@@ -12,131 +11,137 @@
 	"teaselring/result"
 )
 
-// Platform tables of moves.
-const (
-	moveTable = "moves"
-	// serviceTable has one row a service that names its newest move. Declaring
-	// a move checks its revision.
-	serviceTable = "move-services"
-)
+// rows reads and writes moves on the platform. Every call is bounded.
+type rows struct {
+	table   port.Table
+	timeout time.Duration
+}
 
-// maxMoves bounds the rows that are read. Ended moves are removed when a new
-// one of their service is declared, so there is at most one for each service.
-const maxMoves = 500
+func (r rows) get(ctx context.Context, id mesh.MoveID) (mesh.Move, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.timeout)
+	defer cancel()
+	row, err := r.table.Get(ctx, port.MoveTableName, string(id))
+	if err != nil {
+		return mesh.Move{}, 0, err
+	}
+	if row.Revision == 0 {
+		return mesh.Move{}, 0, result.MoveNotFound.Errorf("no move has the id %q", id)
+	}
+	move, err := decode(row)
+	return move, row.Revision, err
+}
 
-// storedMove is a row with its revision.
-type storedMove struct {
-	move     mesh.Move
-	revision uint64
+func decode(row port.Row) (mesh.Move, error) {
+	var move mesh.Move
+	if err := json.Unmarshal(row.Value, &move); err != nil {
+		return mesh.Move{}, result.MoveInvalid.Errorf("row %q can't be decoded: %v", row.Key, err)
+	}
+	return move, nil
 }
 
-// rows reads and writes the rows of moves.
-type rows struct{ table port.Table }
+// pageSize is the number of rows of one scan request.
+const pageSize = 200
 
-func (r rows) scan(ctx context.Context) ([]storedMove, error) {
-	stored, err := r.table.Scan(ctx, moveTable, "", "", maxMoves)
-	if err != nil {
-		return nil, err
-	}
-	list := make([]storedMove, 0, len(stored))
-	for _, row := range stored {
-		s, err := decode(row)
+// all returns every row in the table of moves.
+func (r rows) all(ctx context.Context) ([]mesh.Move, error) {
+	var list []mesh.Move
+	after := ""
+	for {
+		page, err := r.page(ctx, after)
 		if err != nil {
 			return nil, err
 		}
-		list = append(list, *s)
+		for _, row := range page {
+			move, err := decode(row)
+			if err != nil {
+				return nil, err
+			}
+			list = append(list, move)
+			after = row.Key
+		}
+		if len(page) < pageSize {
+			return list, nil
+		}
 	}
-	return list, nil
 }
 
-func (r rows) get(ctx context.Context, id mesh.MoveID) (*storedMove, error) {
-	row, err := r.table.Get(ctx, moveTable, moveKey(id))
-	if err != nil {
-		return nil, err
-	}
-	if row.Revision == 0 {
-		return nil, result.MoveNotFound.Errorf("move %q does not exist", id)
-	}
-	return decode(row)
+func (r rows) page(ctx context.Context, after string) ([]port.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.timeout)
+	defer cancel()
+	return r.table.Scan(ctx, port.MoveTableName, "", after, pageSize)
 }
 
-func decode(row port.Row) (*storedMove, error) {
-	s := &storedMove{revision: row.Revision}
-	if err := json.Unmarshal(row.Value, &s.move); err != nil {
-		return nil, result.Internal.Errorf("row %s/%s: %v", moveTable, row.Key, err)
+// write replaces the row with the revision by next and writes the audit entry
+// of the step in the same transaction.
+func (r rows) write(ctx context.Context, revision uint64, from, next *mesh.Move, entry port.AuditEntry) error {
+	txn := port.Txn{Checks: []port.Check{{Table: port.MoveTableName, Key: string(next.ID), Revision: revision}}}
+	if err := addRow(&txn, from, next, entry); err != nil {
+		return err
 	}
-	return s, nil
+	return r.commit(ctx, txn)
 }
 
-// create stores a declared move and removes ended moves of its service.
-func (r rows) create(ctx context.Context, m mesh.Move, known []storedMove) error {
-	lock, err := r.table.Get(ctx, serviceTable, url.PathEscape(string(m.Service)))
+// create writes the first row of a move. The row of its service is checked
+// too, so that two declarations at once can't both succeed.
+func (r rows) create(ctx context.Context, next *mesh.Move, entry port.AuditEntry) error {
+	service, err := r.service(ctx, next.Service)
 	if err != nil {
 		return err
 	}
+	if before := mesh.MoveID(service.Value); service.Revision != 0 {
+		if row, _, err := r.get(ctx, before); err == nil && !row.Phase.Ended() {
+			return result.MoveInProgress.Errorf("move %q of service %q is %s", before, next.Service, row.Phase)
+		}
+	}
 	txn := port.Txn{
 		Checks: []port.Check{
-			{Table: serviceTable, Key: url.PathEscape(string(m.Service)), Revision: lock.Revision},
-			{Table: moveTable, Key: moveKey(m.ID)},
+			{Table: port.MoveTableName, Key: string(next.ID)},
+			{Table: port.MoveServiceTable, Key: string(next.Service), Revision: service.Revision},
 		},
-		Puts: []port.Put{
-			{Table: serviceTable, Key: url.PathEscape(string(m.Service)), Value: []byte(m.ID)},
-			{Table: moveTable, Key: moveKey(m.ID), Value: encode(m)},
-			auditPut(&m, m.By, "", nil),
-		},
-	}
-	for _, s := range known {
-		if s.move.Service == m.Service && s.move.Phase.Ended() {
-			txn.Deletes = append(txn.Deletes, port.Delete{Table: moveTable, Key: moveKey(s.move.ID)})
-		}
+		Puts: []port.Put{{Table: port.MoveServiceTable, Key: string(next.Service), Value: []byte(next.ID)}},
 	}
-	err = r.table.Commit(ctx, txn)
-	if result.Of(err) == result.RowConflict {
-		return result.MoveInProgress.Errorf("another move of service %q was declared at the same time, or the id %q is taken", m.Service, m.ID)
+	if err := addRow(&txn, &mesh.Move{}, next, entry); err != nil {
+		return err
 	}
-	return err
+	return r.commit(ctx, txn)
 }
 
-// write replaces the row that was read, with an audit entry in the same
-// transaction.
-func (r rows) write(ctx context.Context, s *storedMove, next mesh.Move, who string, v *mesh.Verdict) error {
-	return r.table.Commit(ctx, port.Txn{
-		Checks: []port.Check{{Table: moveTable, Key: moveKey(next.ID), Revision: s.revision}},
-		Puts: []port.Put{
-			{Table: moveTable, Key: moveKey(next.ID), Value: encode(next)},
-			auditPut(&next, who, describe(&s.move), v),
-		},
-	})
+func (r rows) service(ctx context.Context, id mesh.ServiceID) (port.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.timeout)
+	defer cancel()
+	return r.table.Get(ctx, port.MoveServiceTable, string(id))
+}
+
+func (r rows) commit(ctx context.Context, txn port.Txn) error {
+	ctx, cancel := context.WithTimeout(ctx, r.timeout)
+	defer cancel()
+	return r.table.Commit(ctx, txn)
 }
 
-func auditPut(m *mesh.Move, who, from string, v *mesh.Verdict) port.Put {
-	stream := "move/" + url.PathEscape(string(m.ID))
-	entry := port.AuditEntry{
-		Stream: stream, Sequence: m.Step, Time: time.Now(), Who: who, Action: "move step",
-		Subject: string(m.ID), From: from, To: describe(m), Why: m.Reason,
+// addRow adds the row and its audit entry to a transaction. The audit row must
+// be absent, so a step can't be written twice.
+func addRow(txn *port.Txn, from, next *mesh.Move, entry port.AuditEntry) error {
+	value, err := json.Marshal(next)
+	if err != nil {
+		return fmt.Errorf("move %q: %w", next.ID, err)
 	}
-	if v != nil {
-		entry.Why = fmt.Sprintf("%s (evidence: %d calls of the new version, %d nodes, %d of them cut it)", m.Reason, v.Calls, v.Nodes, v.Cuts)
+	entry.Stream, entry.Sequence, entry.Subject = "move/"+string(next.ID), next.Step, string(next.ID)
+	entry.From, entry.To, entry.Why = describe(from), describe(next), next.Reason
+	line, err := json.Marshal(entry)
+	if err != nil {
+		return fmt.Errorf("audit entry of move %q: %w", next.ID, err)
 	}
-	value, _ := json.Marshal(entry) // a struct of plain fields always encodes
-	return port.Put{Table: port.AuditTable, Key: port.AuditKey(stream, m.Step), Value: value}
+	key := fmt.Sprintf("%s/%020d", entry.Stream, entry.Sequence)
+	txn.Checks = append(txn.Checks, port.Check{Table: port.AuditTable, Key: key})
+	txn.Puts = append(txn.Puts,
+		port.Put{Table: port.MoveTableName, Key: string(next.ID), Value: value},
+		port.Put{Table: port.AuditTable, Key: key, Value: line})
+	return nil
 }
 
 func describe(m *mesh.Move) string {
-	return fmt.Sprintf("%s, share %.3f, epoch %d, holder %s", m.Phase, m.Share, m.Epoch, m.Holder)
-}
-
-func movesOf(stored []storedMove) []mesh.Move {
-	list := make([]mesh.Move, 0, len(stored))
-	for _, s := range stored {
-		list = append(list, s.move)
+	if m.Phase == "" {
+		return ""
 	}
-	return list
-}
-
-func moveKey(id mesh.MoveID) string { return url.PathEscape(string(id)) }
-
-func encode(m mesh.Move) []byte {
-	b, _ := json.Marshal(m) // a struct of plain fields always encodes
-	return b
+	return fmt.Sprintf("%s share %.2f epoch %d", m.Phase, m.Share, m.Epoch)
 }
