Tell peers in heartbeats how old the confirmation of the head is

Cause: the links duty left HeadAge out of its heartbeats, so every node that is no head reader read the head itself each 6 s on average. Change: the heartbeat carries the age that config.store publishes, if it is of the version that the heartbeat names; the measurement prints who reads heads.

--- a/plugins/linkoverlay/setup.go
+++ b/plugins/linkoverlay/setup.go
@@ -96,7 +96,8 @@
 	Address  *port.PeerAddressCell
 	View     *port.ViewCell
 	Seeds    *port.SeedsCell
-	Snapshot *port.SnapshotCell `optional:"true"`
+	Snapshot *port.SnapshotCell     `optional:"true"`
+	Status   *port.ConfigStatusCell `optional:"true"`
 	Hello    *helloCell
 
 	Push    *port.PushRing
--- a/plugins/linkoverlay/spread.go
+++ b/plugins/linkoverlay/spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"teaselring/mesh"
 	"teaselring/port"
@@ -44,7 +45,21 @@
 func (l *links) heartbeat() {
 	l.sequence++
 	own := l.Hello.Load()
-	l.push(port.Push{Message: wire.Heartbeat{Sequence: l.sequence, InForce: own.InForce, ViewDigest: own.ViewDigest}})
+	var status *port.ConfigStatus
+	if l.Status != nil {
+		status = l.Status.Load()
+	}
+	l.push(port.Push{Message: heartbeatOf(l.sequence, own, status, time.Now())})
+}
+
+// heartbeatOf tells how old the confirmation of the head is only for the
+// version that the heartbeat names.
+func heartbeatOf(sequence uint64, own *wire.Hello, status *port.ConfigStatus, now time.Time) wire.Heartbeat {
+	h := wire.Heartbeat{Sequence: sequence, InForce: own.InForce, ViewDigest: own.ViewDigest}
+	if status != nil && status.InForce == own.InForce {
+		h.HeadAge = status.HeadAge(now)
+	}
+	return h
 }
 
 // maxCrashes bounds the memory of forwarded crashes. Quarantine lasts 10
--- a/test/measure/convergence/change.go
+++ b/test/measure/convergence/change.go
@@ -101,7 +101,8 @@
 	}
 	seconds := time.Since(start).Seconds()
 	after, done := m.readings(), m.cluster.Platform.Stats()
-	var cpu, resident, links, in, out, framed, messages, up []float64
+	var cpu, resident, links, in, out, framed, messages, up, heads []float64
+	reading := 0
 	for i, b := range before {
 		a := after[i]
 		delta := func(name string) float64 { return (a.metrics[name] - b.metrics[name]) / seconds }
@@ -114,6 +115,10 @@
 		links = append(links, delta("links.bytes_in")+delta("links.bytes_out"))
 		framed = append(framed, delta("links.bytes_in")+delta("links.bytes_out")+count*framing)
 		up = append(up, a.metrics["links.up"])
+		heads = append(heads, delta("config.head_reads"))
+		if heads[i] > 0 {
+			reading++
+		}
 	}
 	return map[string]any{
 		"kind": "usage of a node", "phase": phase, "nodes": len(before), "seconds": bench.Round(seconds, 1),
@@ -127,6 +132,8 @@
 		"link_bytes_per_s":        spread(links, 0),
 		"link_framed_bytes_per_s": spread(framed, 0),
 		"framing_estimate":        framing,
+		"head_reads_per_s":        spread(heads, 2),
+		"nodes_that_read_heads":   reading,
 		"platform_reads_per_s":    bench.Round(float64(done["reads"]-stats["reads"])/seconds, 2),
 		"platform_writes_per_s":   bench.Round(float64(done["writes"]-stats["writes"])/seconds, 2),
 		"platform_refused":        done["refused"] - stats["refused"],
