--- /dev/null
+++ b/test/suite/load_test.go
@@ -0,0 +1,151 @@
+package suite
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"teaselring/test/harness"
+	"teaselring/test/standin"
+)
+
+// number returns an integer of the environment, or a default.
+func number(name string, standard int) int {
+	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
+		return n
+	}
+	return standard
+}
+
+const (
+	// slotsEach is the number of slots of one upstream in the records.
+	slotsEach = 6
+	// serviceMS is the duration of a call on the upstream. Faults must find
+	// calls in flight.
+	serviceMS = 60
+)
+
+// system is a cluster whose first node is an entry node only. Each other node
+// has an upstream beside it.
+type system struct {
+	*harness.Cluster
+	entry     *harness.Node
+	owners    []*harness.Node
+	upstreams []harness.Upstream // upstreams[i] is beside owners[i]
+	results   []harness.Result   // of all loads
+	loads     int
+}
+
+// newSystem starts a system and waits until each node reaches each upstream.
+func newSystem(owners int, before ...func(*system)) *system {
+	names := []string{"n0"}
+	for i := range owners {
+		names = append(names, fmt.Sprintf("n%d", i+1))
+	}
+	// In one zone, each node spreads its calls over all upstreams.
+	c := harness.NewCluster(harness.New(GinkgoT()), 1, names...)
+	s := &system{Cluster: c, entry: c.Nodes[0], owners: c.Nodes[1:]}
+	for _, f := range before {
+		f(s)
+	}
+	c.Start()
+	c.WaitListening()
+	for i, n := range s.owners {
+		s.upstreams = append(s.upstreams, c.H.StartUpstream(fmt.Sprintf("u%d", i+1), "stock", "v1", n.Announce,
+			"-service-ms", strconv.Itoa(serviceMS)))
+	}
+	applied(c, "first")
+	s.awaitAll()
+	return s
+}
+
+// awaitAll waits until calls through each node reach each upstream.
+func (s *system) awaitAll() {
+	GinkgoHelper()
+	for _, n := range s.Nodes {
+		s.awaitThrough(n, s.upstreams...)
+	}
+}
+
+// awaitThrough waits until calls through a node reach each of the upstreams.
+func (s *system) awaitThrough(n *harness.Node, upstreams ...harness.Upstream) {
+	GinkgoHelper()
+	s.loads++
+	path := fmt.Sprintf("/stock/probe-%d", s.loads)
+	s.H.Until("calls through "+n.Name+" to reach each upstream", func() error {
+		r := call(n, "GET", path, "", nil)
+		for _, u := range upstreams {
+			if u.Began(func(c standin.Call) bool { return c.Path == path }) == 0 {
+				return fmt.Errorf("none reached %s; the last was answered %d, code %s, %v", u.Name, r.status, r.code, r.err)
+			}
+		}
+		return nil
+	})
+}
+
+// load is a load through all nodes, within the given share of all slots.
+func (s *system) load(calls int, share float64) harness.Load {
+	s.loads++
+	return harness.Load{
+		Name: fmt.Sprintf("load%d", s.loads), Entries: s.Nodes, Calls: calls,
+		Workers: int(share * float64(slotsEach*len(s.upstreams))),
+		Seed:    uint64(number("TEASELRING_SEED", 1)) + uint64(s.loads),
+	}
+}
+
+// calls is the size of a load that faults happen under. A full run has 5000.
+func calls() int { return number("TEASELRING_CALLS", 500) }
+
+// underLoad breaks things while a load runs within the slots, and returns the
+// account of that load when all calls have a result. The account is complete
+// only after settle.
+func (s *system) underLoad(fault func(running *harness.Running)) []harness.Result {
+	GinkgoHelper()
+	running := s.H.Run(s.load(calls(), 0.8))
+	fault(running)
+	results := running.Wait()
+	s.results = append(s.results, results...)
+	return results
+}
+
+// recover waits until each node reaches each upstream again and expects every
+// call of a further load to be answered.
+func (s *system) recover() {
+	GinkgoHelper()
+	s.awaitAll()
+	results := s.H.Run(s.load(60, 0.5)).Wait()
+	s.results = append(s.results, results...)
+	account := harness.NewAccount(results, s.journals()...)
+	Expect(account.Answered).To(Equal(60), "after the fault: %v", account)
+}
+
+func (s *system) journals() [][]standin.Call {
+	var journals [][]standin.Call
+	for _, u := range s.upstreams {
+		journals = append(journals, u.Calls())
+	}
+	return journals
+}
+
+// expectTrue expects that every caller so far was told the truth.
+func (s *system) expectTrue() {
+	GinkgoHelper()
+	account := harness.NewAccount(s.results, s.journals()...)
+	note("all loads: %v", account)
+	Expect(account.Faults).To(BeEmpty())
+}
+
+// account returns the account of some results and prints it.
+func (s *system) account(results []harness.Result) *harness.Account {
+	account := harness.NewAccount(results, s.journals()...)
+	note("%v", account)
+	return account
+}
+
+func note(format string, args ...any) {
+	_, _ = fmt.Fprintf(GinkgoWriter, time.Now().Format("15:04:05.000 ")+format+"\n", args...)
+}
