--- a/decision/moves/settings.go
+++ b/decision/moves/settings.go
@@ -14,6 +14,9 @@
 	// Weight is the cost of missing a bad version divided by the cost of
 	// delaying a good one.
 	Weight float64
+	// MinWatch is the least time at full share before a move is done; 0 stands
+	// for DefaultMinWatch.
+	MinWatch time.Duration
 }
 
 // Weights of the two sample deployments. The sock office counts a late move
@@ -69,7 +72,7 @@
 	maxReportGap = 10
 	// MinDuration is the shortest time between declaration and target: the
 	// steps and the watch period need at least this much.
-	MinDuration = time.Minute
+	MinDuration = 40 * time.Second
 
 	// coldSpan and coldCalls bound the cold start of an upstream process.
 	// Its first answers are no evidence, except for crashes.
--- a/plugins/callrouter/router.go
+++ b/plugins/callrouter/router.go
@@ -5,6 +5,9 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+
 	"teaselring/decision/limit"
 	"teaselring/decision/retry"
 	"teaselring/decision/routing"
@@ -14,147 +17,184 @@
 	"teaselring/result"
 )
 
-// router owns in-flight counts, endpoint statistics, caller limits and budgets.
-type router struct {
+// expiry is the time between two sweeps of idle retry budgets.
+const expiry = time.Minute
+
+type dutyIn struct {
+	fx.In
+	Settings *Settings
+	Picks    *port.PickRing
+	Outcomes *port.OutcomeRing
+	Retries  *port.RetryRing
+	View     *port.ViewCell
+	Snapshot *port.SnapshotCell
+	Splits   *port.SplitsCell `optional:"true"`
+	Samples  *port.SampleRing `optional:"true"`
+	Metrics  metrics.Registry
+}
+
+// duty owns what the entry node knows about endpoints and callers.
+type duty struct {
 	in      dutyIn
-	route   *routing.Router
+	rnd     *rand.Rand
+	seed    uint64 // of draws derived from calls
+	router  *routing.Router
 	callers *limit.CallerLimits
 	budgets *retry.Budgets
 	policy  retry.Policy
-	random  *rand.Rand
-	seed    uint64
-}
 
-const (
-	callCapacity  = 4096 // calls in flight on one entry node
-	callerDefault = 1024 // of one caller without a record
-)
+	picked, refused, retried, denied metrics.Counter
+}
 
 func newDuty(in dutyIn) kernel.Duty {
-	r := &router{
-		in:      in,
-		route:   routing.New(routing.DefaultParams()),
-		callers: limit.NewCallerLimits(limit.CallerParams{Capacity: callCapacity, Default: callerDefault}),
-		budgets: retry.NewBudgets(retry.DefaultBudgetParams()),
-		policy:  retry.DefaultPolicy(),
-		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		seed:    rand.Uint64(),
+	d := &duty{
+		in: in, rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), seed: rand.Uint64(),
+		router:  routing.New(in.Settings.routing()),
+		callers: limit.NewCallerLimits(in.Settings.callers()),
+		budgets: retry.NewBudgets(in.Settings.budgets()),
+		policy:  in.Settings.policy(),
+		picked:  metrics.NewRegisteredCounter("router.picked", in.Metrics),
+		refused: metrics.NewRegisteredCounter("router.refused", in.Metrics),
+		retried: metrics.NewRegisteredCounter("router.retries_allowed", in.Metrics),
+		denied:  metrics.NewRegisteredCounter("router.retries_denied", in.Metrics),
 	}
 	return kernel.Duty{
 		Name: "router", Owns: "in-flight counts, endpoint statistics, caller limits, retry budgets",
-		In: []string{"router.picks", "router.outcomes", "router.retries"}, Out: []string{"guard.samples"},
-		Run: r.run,
+		In: []string{pickRing, outcomeRing, retryRing}, Out: []string{sampleRing},
+		Run: d.run,
 	}
 }
 
-func (r *router) run(ctx context.Context) error {
-	sweep := time.NewTicker(time.Minute)
+func (d *duty) run(ctx context.Context) error {
+	sweep := time.NewTicker(expiry)
 	defer sweep.Stop()
 	for {
 		select {
-		case ask := <-r.in.Picks.C():
-			r.pick(ask)
-		case f := <-r.in.Outcomes.C():
-			r.finish(ctx, f)
-		case ask := <-r.in.Retries.C():
-			r.retry(ask)
-		case now := <-sweep.C:
-			r.budgets.Expire(now)
 		case <-ctx.Done():
 			return nil
+		case ask := <-d.in.Picks.C():
+			d.pick(ask, time.Now())
+		case f := <-d.in.Outcomes.C():
+			d.finish(ctx, &f, time.Now())
+		case ask := <-d.in.Retries.C():
+			d.judge(ask, time.Now())
+		case now := <-sweep.C:
+			d.budgets.Expire(now)
 		}
 	}
 }
 
-func (r *router) pick(ask kernel.Ask[port.Pick, mesh.Target]) {
-	q := ask.Query
-	now := time.Now()
-	if err := r.admit(&q, now); err != nil {
+// pick answers with an endpoint. Whatever it reserved is returned when the
+// choice fails or the asker has left.
+func (d *duty) pick(ask kernel.Ask[port.Pick, mesh.Target], now time.Time) {
+	if ask.Closed() {
+		return
+	}
+	q := &ask.Query
+	if err := d.reserve(q, now); err != nil {
+		d.refused.Inc(1)
 		ask.Fail(err)
 		return
 	}
-	target, err := r.choose(&q, now)
+	target, err := d.choose(q, now)
 	if err != nil {
-		r.undo(&q, now)
+		d.refused.Inc(1)
+		d.unreserve(q, now)
 		ask.Fail(err)
 		return
 	}
-	r.route.Begin(target, now)
+	d.router.Begin(target, now)
 	if !ask.Answer(target) {
-		r.route.Cancel(target)
-		r.undo(&q, now)
+		d.router.Cancel(target)
+		d.unreserve(q, now)
+		return
 	}
+	d.picked.Inc(1)
 }
 
-func (r *router) admit(q *port.Pick, now time.Time) error {
-	if q.Retried {
-		if !r.budgets.Spend(q.Call.Caller, now) {
-			return result.RetryBudgetSpent.Err()
-		}
+// reserve takes the caller's place for a first attempt and charges the budget
+// for a retry.
+func (d *duty) reserve(q *port.Pick, now time.Time) error {
+	if !q.Call.Deadline.After(now) {
+		return result.DeadlineBefore.Err()
+	}
+	id := q.Call.Caller
+	record, declared := d.caller(id)
+	if q.Retried && !d.budgets.Spend(id, now) {
+		return result.RetryBudgetSpent.Errorf("the retry budget of caller %q is spent", id)
+	}
+	if !q.First {
 		return nil
 	}
-	declared, percent := r.callerRecord(q.Call.Caller)
-	if err := r.callers.Acquire(q.Call.Caller, declared); err != nil {
+	places := 0
+	if declared {
+		places = record.InFlight
+	}
+	if err := d.callers.Acquire(id, places); err != nil {
 		return err
 	}
-	r.budgets.Call(q.Call.Caller, percent, now)
+	d.budgets.Call(id, record.RetryPercent, now)
 	return nil
 }
 
-func (r *router) undo(q *port.Pick, now time.Time) {
+func (d *duty) unreserve(q *port.Pick, now time.Time) {
 	if q.Retried {
-		r.budgets.Refund(q.Call.Caller, now)
-		return
+		d.budgets.Refund(q.Call.Caller, now)
+	}
+	if q.First {
+		d.callers.Release(q.Call.Caller)
 	}
-	r.callers.Release(q.Call.Caller)
 }
 
-func (r *router) callerRecord(id mesh.CallerID) (inFlight, percent int) {
-	if s := r.in.Snapshot.Load(); s != nil {
-		if record, ok := s.Callers[id]; ok {
-			return record.InFlight, record.RetryPercent
+// caller returns the limits of a caller; without a record, the default share
+// of retries.
+func (d *duty) caller(id mesh.CallerID) (record mesh.CallerV1, declared bool) {
+	if snapshot := d.in.Snapshot.Load(); snapshot != nil {
+		if record, declared = snapshot.Callers[id]; declared {
+			return record, true
 		}
 	}
-	return 0, retry.DefaultPercent
+	return mesh.CallerV1{RetryPercent: retry.DefaultPercent}, false
 }
 
-func (r *router) choose(q *port.Pick, now time.Time) (mesh.Target, error) {
-	view := r.in.View.Load()
-	if view == nil {
-		return mesh.Target{}, result.NoEndpoint.Err()
-	}
-	r.route.Observe(view)
+func (d *duty) choose(q *port.Pick, now time.Time) (mesh.Target, error) {
+	d.router.Observe(d.in.View.Load())
 	var splits *mesh.Splits
-	if r.in.Splits != nil {
-		if splits = r.in.Splits.Load(); splits == nil {
+	if d.in.Splits != nil {
+		if splits = d.in.Splits.Load(); splits == nil {
 			return mesh.Target{}, result.NoConfiguration.Errorf("the moves in progress are not known yet")
 		}
 	}
 	draw := q.Draw
 	if draw == 0 {
-		draw = routing.CallDraw(r.seed, &q.Call)
+		draw = routing.CallDraw(d.seed, &q.Call)
 	}
-	return r.route.Pick(&routing.Query{Call: &q.Call, Tried: q.Tried, Draw: draw}, splits, r.random, now)
+	return d.router.Pick(&routing.Query{Call: &q.Call, Tried: q.Tried, Draw: draw}, splits, d.rnd, now)
 }
 
-func (r *router) finish(ctx context.Context, f port.Finished) {
+func (d *duty) finish(ctx context.Context, f *port.Finished, now time.Time) {
 	if !f.NoAttempt {
-		r.route.End(f.Outcome, time.Now())
-		if r.in.Samples != nil {
-			_ = r.in.Samples.Send(ctx, f.Outcome)
+		d.router.End(f.Outcome, now)
+		if d.in.Samples != nil {
+			_ = d.in.Samples.Send(ctx, f.Outcome) // replaces the oldest, never fails
 		}
 	}
 	if f.CallEnded {
-		r.callers.Release(f.Outcome.Caller)
+		d.callers.Release(f.Outcome.Caller)
 	}
 }
 
-func (r *router) retry(ask kernel.Ask[port.MayRetry, port.RetryVerdict]) {
-	q := ask.Query
-	v := r.policy.Judge(&retry.Attempt{
+func (d *duty) judge(ask kernel.Ask[port.MayRetry, port.RetryVerdict], now time.Time) {
+	q := &ask.Query
+	v := d.policy.Judge(&retry.Attempt{
 		Call: &q.Call, Outcome: &q.Outcome, Made: q.Attempts,
 		RetriedBelow: q.RetriedBelow, RetriedAbove: q.RetriedAbove,
-		Expected: r.route.Expected(q.Call.Service),
-	}, r.budgets, r.random.Float64(), time.Now())
+		Expected: d.router.Expected(q.Call.Service),
+	}, d.budgets, d.rnd.Float64(), now)
+	if v.Retry {
+		d.retried.Inc(1)
+	} else {
+		d.denied.Inc(1)
+	}
 	ask.Answer(port.RetryVerdict{Retry: v.Retry, Wait: v.Wait, Mark: v.Mark, Why: string(v.Why)})
 }
