--- a/decision/routing/choose.go
+++ b/decision/routing/choose.go
@@ -147,7 +147,7 @@
 // the calls that must end first.
 func pressure(load, capacity float64) float64 {
 	used := (load + 1) / capacity
-	wait := used * used / 4
+	wait := used * used
 	if over := load + 1 - capacity; over > 0 {
 		wait += over / capacity
 	}
