Avoid silent endpoints, honour retry_percent 0 and share unnamed budgets

Calls whose deadline is shorter than the 3 s in which a silent connection is found ended as deadline_during_call and did not count against the endpoint; three in a row that waited long enough now start its penalty. A caller record with retry_percent 0 still had the burst. Callers without a record share one retry budget, because each new name brought a new burst. A lost attempt no longer raises the adaptive limit. A stress test admits, cancels and settles from 16 goroutines and finds no false settlement and no leaked slot.

--- a/decision/limit/slots.go
+++ b/decision/limit/slots.go
@@ -253,7 +253,8 @@
 	}
 }
 
-// Abandon frees the slot of an attempt that was started but not used.
+// Abandon frees the slot of an attempt that was not used or whose upstream was
+// lost, which says nothing about the limit.
 func (s *Slots) Abandon(id mesh.AttemptID) { s.free(id) }
 
 // Release frees the slot of an attempt. Shed tells that the upstream refused
--- a/decision/retry/budget.go
+++ b/decision/retry/budget.go
@@ -57,18 +57,18 @@
 	b.bucket(id, now).tokens += float64(percent) / 100
 }
 
-// Has reports whether the caller's budget allows a retry now.
-func (b *Budgets) Has(id mesh.CallerID, now time.Time) bool {
-	return b.bucket(id, now).tokens >= 1
+// Has reports whether the caller's budget allows a retry now. A caller with a
+// percentage of 0 has none, not even the burst.
+func (b *Budgets) Has(id mesh.CallerID, percent int, now time.Time) bool {
+	return percent > 0 && b.bucket(id, now).tokens >= 1
 }
 
 // Spend charges a retry and reports whether the budget allowed it.
-func (b *Budgets) Spend(id mesh.CallerID, now time.Time) bool {
-	k := b.bucket(id, now)
-	if k.tokens < 1 {
+func (b *Budgets) Spend(id mesh.CallerID, percent int, now time.Time) bool {
+	if !b.Has(id, percent, now) {
 		return false
 	}
-	k.tokens--
+	b.bucket(id, now).tokens--
 	return true
 }
 
--- a/decision/retry/policy.go
+++ b/decision/retry/policy.go
@@ -33,6 +33,8 @@
 	RetriedBelow bool          // the answer carried Teasel-Retried
 	RetriedAbove bool          // the caller's request carried Teasel-Retried
 	Expected     time.Duration // of an answer of the service, 0 when unknown
+	Account      mesh.CallerID // whose budget is charged
+	Percent      int           // of that budget
 }
 
 // Verdict is the decision about an attempt.
@@ -76,7 +78,7 @@
 		return Verdict{Mark: true, Why: WhyAttempts}
 	case now.Add(wait + max(a.Expected, p.MinRemaining)).After(a.Call.Deadline):
 		return Verdict{Mark: true, Why: WhyDeadline}
-	case !budgets.Has(a.Call.Caller, now):
+	case !budgets.Has(a.Account, a.Percent, now):
 		return Verdict{Mark: true, Why: WhyBudget}
 	}
 	return Verdict{Retry: true, Wait: wait, Mark: true, Why: WhyAllowed}
--- a/decision/retry/retry_test.go
+++ b/decision/retry/retry_test.go
@@ -23,7 +23,7 @@
 
 var _ = DescribeTable("what an outcome allows",
 	func(method string, class mesh.Class, o mesh.Outcome, want Reason) {
-		a := &Attempt{Call: callOf(method, class), Outcome: &o, Made: 1}
+		a := &Attempt{Call: callOf(method, class), Outcome: &o, Made: 1, Account: "shop", Percent: 10}
 		v := policy.Judge(a, NewBudgets(DefaultBudgetParams()), 0.5, start)
 		Expect(v.Why).To(Equal(want))
 		Expect(v.Retry).To(Equal(want == WhyAllowed))
@@ -46,7 +46,7 @@
 
 var _ = DescribeTable("what stands against a retry",
 	func(change func(*Attempt, *Budgets), want Reason) {
-		a := &Attempt{Call: callOf("GET", mesh.ClassRead), Outcome: &mesh.Outcome{Code: 1009}, Made: 1}
+		a := &Attempt{Call: callOf("GET", mesh.ClassRead), Outcome: &mesh.Outcome{Code: 1009}, Made: 1, Account: "shop", Percent: 10}
 		budgets := NewBudgets(DefaultBudgetParams())
 		change(a, budgets)
 		v := policy.Judge(a, budgets, 0.5, start)
@@ -57,9 +57,10 @@
 	Entry("attempts used", func(a *Attempt, _ *Budgets) { a.Made = 3 }, WhyAttempts),
 	Entry("no time left", func(a *Attempt, _ *Budgets) { a.Expected = 996 * time.Millisecond }, WhyDeadline),
 	Entry("no budget", func(_ *Attempt, b *Budgets) {
-		for b.Spend("shop", start) {
+		for b.Spend("shop", DefaultPercent, start) {
 		}
 	}, WhyBudget),
+	Entry("a record without retries", func(a *Attempt, _ *Budgets) { a.Percent = 0 }, WhyBudget),
 	Entry("a once call without a key", func(a *Attempt, _ *Budgets) { a.Call.Class, a.Call.Key = mesh.ClassOnce, "" }, WhyUnsafe),
 )
 
@@ -79,7 +80,7 @@
 			b.Call("shop", 10, start)
 		}
 		later, spent := start.Add(time.Minute), 0
-		for b.Spend("shop", later) {
+		for b.Spend("shop", DefaultPercent, later) {
 			spent++
 		}
 		Expect(spent).To(BeNumerically("~", 3, 1), "an old quiet time must not pay for a storm of retries")
@@ -93,9 +94,9 @@
 			b.Call("shop", 10, start)
 		}
 		b.Call("billing", 0, start)
-		for b.Spend("billing", start) {
+		for b.Spend("billing", DefaultPercent, start) {
 		}
-		Expect(b.Has("shop", start)).To(BeTrue())
+		Expect(b.Has("shop", DefaultPercent, start)).To(BeTrue())
 		for i := range 100 {
 			b.Call(mesh.CallerID(fmt.Sprint(i)), 10, start)
 		}
@@ -127,8 +128,9 @@
 	c.budgets[hop].Call(call.Caller, DefaultPercent, c.now)
 	for made := 1; ; made++ {
 		o, below := c.call(hop + 1)
-		v := policy.Judge(&Attempt{Call: call, Outcome: &o, Made: made, RetriedBelow: below}, c.budgets[hop], c.rnd.Float64(), c.now)
-		if !v.Retry || !c.budgets[hop].Spend(call.Caller, c.now) {
+		a := &Attempt{Call: call, Outcome: &o, Made: made, RetriedBelow: below, Account: call.Caller, Percent: DefaultPercent}
+		v := policy.Judge(a, c.budgets[hop], c.rnd.Float64(), c.now)
+		if !v.Retry || !c.budgets[hop].Spend(call.Caller, DefaultPercent, c.now) {
 			if c.passOn {
 				return o, v.Mark
 			}
--- a/decision/routing/endpoint.go
+++ b/decision/routing/endpoint.go
@@ -22,6 +22,7 @@
 	limit    int // reported limit, 0 when unknown
 	reported time.Time
 
+	silent     int // attempts in a row that were given up without an answer
 	avoidUntil time.Time
 	strikes    int // failed trials in a row
 	trialUntil time.Time
@@ -97,9 +98,15 @@
 	case unreachable(o):
 		e.strike(now, p)
 		return
+	case e.givenUp(o, p):
+		if e.silent++; e.silent >= p.SilentCalls {
+			e.strike(now, p)
+			return
+		}
 	case shed(o):
 		e.full(now, p)
 	case answered(o):
+		e.silent = 0
 		e.latency = average(e.latency, float64(o.Duration), p.Smoothing)
 		e.recover(now)
 	}
@@ -133,6 +140,13 @@
 // endpoint that was once slow would lose every comparison for good.
 const leastWeight = 0.05
 
+// givenUp reports whether the attempt waited so long for its answer that the
+// endpoint may be silent. A caller with very short deadlines proves nothing.
+func (e *endpoint) givenUp(o *mesh.Outcome, p *Params) bool {
+	long := max(p.SilentAfter, time.Duration(4*e.latency))
+	return o.Code == result.DeadlineDuring.Number && o.Status == 0 && o.Duration >= long
+}
+
 // full records that the endpoint refused a call under load, which the last
 // report may contradict.
 func (e *endpoint) full(now time.Time, p *Params) {
@@ -152,6 +166,7 @@
 	}
 	e.strikes++
 	e.avoidUntil = now.Add(span)
+	e.silent = 0
 	e.trialUntil = time.Time{}
 }
 
--- a/decision/routing/router.go
+++ b/decision/routing/router.go
@@ -37,6 +37,10 @@
 	// not answer is avoided; it doubles with each failed trial.
 	PenaltyBase time.Duration
 	PenaltyMax  time.Duration
+	// SilentCalls attempts in a row that each waited for SilentAfter, or four
+	// times the endpoint's usual time, without an answer start a penalty.
+	SilentCalls int
+	SilentAfter time.Duration
 	// TrialLease is the time after which a trial call without an outcome no
 	// longer keeps others from being tried.
 	TrialLease time.Duration
@@ -52,6 +56,7 @@
 		ReportWeight: 0.7, ReportSmoothing: 0.5, LoadTrust: 500 * time.Millisecond,
 		HistoryTrust: 10 * time.Second, Smoothing: 0.01, FailureCost: 10,
 		PenaltyBase: 100 * time.Millisecond, PenaltyMax: 5 * time.Second, TrialLease: 5 * time.Second,
+		SilentCalls: 3, SilentAfter: 500 * time.Millisecond,
 	}
 }
 
--- a/decision/routing/router_test.go
+++ b/decision/routing/router_test.go
@@ -167,6 +167,25 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	It("is avoided when calls in a row end at their deadline without an answer", func() {
+		giveUp := func(after time.Duration) {
+			f.Begin(bad, start)
+			o := outcome(bad, result.DeadlineDuring, nil)
+			o.Duration = after
+			f.End(o, start)
+		}
+		for range 20 {
+			giveUp(time.Millisecond)
+		}
+		giveUp(2 * time.Second)
+		giveUp(2 * time.Second)
+		_, err := f.pick(start)
+		Expect(err).NotTo(HaveOccurred(), "impatient callers must not make an endpoint look silent")
+		giveUp(2 * time.Second)
+		_, err = f.pick(start)
+		Expect(result.Of(err)).To(Equal(result.NoEndpoint))
+	})
+
 	It("is tried again when a trial call never ends", func() {
 		fail(start)
 		now := start.Add(time.Second)
--- a/mesh/call.go
+++ b/mesh/call.go
@@ -60,6 +60,6 @@
 	Failed   bool          // the attempt failed for a reason on the upstream's side
 	Shed     bool          // the upstream or its queue refused under load
 	Crashed  bool          // the upstream process ended during the attempt
-	Duration time.Duration // until the first byte of the answer
+	Duration time.Duration // until the first byte of the answer, or until the attempt was given up
 	Load     *Load         // nil when none was reported
 }
--- a/plugins/callrouter/router.go
+++ b/plugins/callrouter/router.go
@@ -119,42 +119,47 @@
 		return result.DeadlineBefore.Err()
 	}
 	id := q.Call.Caller
-	record, declared := d.caller(id)
-	if q.Retried && !d.budgets.Spend(id, now) {
-		return result.RetryBudgetSpent.Errorf("the retry budget of caller %q is spent", id)
-	}
-	if !q.First {
-		return nil
-	}
-	places := 0
-	if declared {
-		places = record.InFlight
+	c := d.caller(id)
+	if q.First {
+		if err := d.callers.Acquire(id, c.inFlight); err != nil {
+			return err
+		}
+		d.budgets.Call(c.account, c.percent, now)
 	}
-	if err := d.callers.Acquire(id, places); err != nil {
-		return err
+	if q.Retried && !d.budgets.Spend(c.account, c.percent, now) {
+		if q.First {
+			d.callers.Release(id)
+		}
+		return result.RetryBudgetSpent.Errorf("the retry budget of caller %q is spent", id)
 	}
-	d.budgets.Call(id, record.RetryPercent, now)
 	return nil
 }
 
 func (d *duty) unreserve(q *port.Pick, now time.Time) {
 	if q.Retried {
-		d.budgets.Refund(q.Call.Caller, now)
+		d.budgets.Refund(d.caller(q.Call.Caller).account, now)
 	}
 	if q.First {
 		d.callers.Release(q.Call.Caller)
 	}
 }
 
-// caller returns the limits of a caller; without a record, the default share
-// of retries.
-func (d *duty) caller(id mesh.CallerID) (record mesh.CallerV1, declared bool) {
+// caller holds the limits of a calling service.
+type caller struct {
+	inFlight int           // 0: no record
+	account  mesh.CallerID // whose retry budget is charged
+	percent  int
+}
+
+// caller returns the limits of the caller's record. Callers without a record
+// share one retry budget, so that new names do not bring new retries.
+func (d *duty) caller(id mesh.CallerID) caller {
 	if snapshot := d.in.Snapshot.Load(); snapshot != nil {
-		if record, declared = snapshot.Callers[id]; declared {
-			return record, true
+		if record, declared := snapshot.Callers[id]; declared {
+			return caller{record.InFlight, id, record.RetryPercent}
 		}
 	}
-	return mesh.CallerV1{RetryPercent: retry.DefaultPercent}, false
+	return caller{account: "", percent: retry.DefaultPercent}
 }
 
 func (d *duty) choose(q *port.Pick, now time.Time) (mesh.Target, error) {
@@ -184,10 +189,11 @@
 
 func (d *duty) judge(ask kernel.Ask[port.MayRetry, port.RetryVerdict], now time.Time) {
 	q := &ask.Query
+	c := d.caller(q.Call.Caller)
 	v := d.policy.Judge(&retry.Attempt{
 		Call: &q.Call, Outcome: &q.Outcome, Made: q.Attempts,
 		RetriedBelow: q.RetriedBelow, RetriedAbove: q.RetriedAbove,
-		Expected: d.router.Expected(q.Call.Service),
+		Expected: d.router.Expected(q.Call.Service), Account: c.account, Percent: c.percent,
 	}, d.budgets, d.rnd.Float64(), now)
 	if v.Retry {
 		d.retried.Inc(1)
--- a/plugins/callslots/slots.go
+++ b/plugins/callslots/slots.go
@@ -226,13 +226,15 @@
 		return
 	}
 	delete(d.open, r.Attempt)
-	d.slots.Release(r.Attempt, r.Shed, now)
 	d.attempts.End(r.Attempt)
 	call := &a.ask.Query.Call
-	switch {
-	case r.Lost:
+	if r.Lost {
+		d.slots.Abandon(r.Attempt) // says nothing about the speed of the upstream
 		d.upstream.noteLost(a.process, call.Fingerprint, now)
-	case r.Status != 0 && !r.Shed && call.Fingerprint != 0:
+		return
+	}
+	d.slots.Release(r.Attempt, r.Shed, now)
+	if r.Status != 0 && !r.Shed && call.Fingerprint != 0 {
 		d.quarantine.Completed(call.Service, call.Fingerprint, now)
 	}
 }
--- a/plugins/callslots/slots_test.go
+++ b/plugins/callslots/slots_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -123,6 +127,49 @@
 		Expect(settle("2", incarnation)).To(BeTrue())
 	})
 
+	It("does not start a waiting attempt on an upstream that replaced the chosen one", func() {
+		Expect(admit(ctx, admitOf("1"))).To(Succeed())
+		done := wait(ctx, admitOf("2"))
+		n.local.Store(&port.Local{Endpoint: mesh.Endpoint{
+			Service: "stock", Version: "v2", Slots: 6, State: mesh.EndpointReady, Process: "p2",
+		}})
+		Eventually(func() error { return admit(ctx, admitOf("3")) }).Should(MatchError(result.Draining.Err()))
+		release(port.Released{Attempt: "1", Status: 200})
+		var err error
+		Eventually(done).Should(Receive(&err))
+		Expect(result.Of(err)).To(Equal(result.Draining))
+	})
+
+	It("runs one attempt at a time and leaks no slot when callers leave and settle at any moment", func() {
+		var running, worst, lies atomic.Int32
+		var group sync.WaitGroup
+		for worker := range 16 {
+			rnd := rand.New(rand.NewPCG(11, uint64(worker)))
+			group.Go(func() {
+				for i := range 60 {
+					id := mesh.AttemptID(fmt.Sprint(worker, "/", i))
+					some, cancel := context.WithTimeout(ctx, time.Duration(rnd.IntN(3000))*time.Microsecond)
+					err := admit(some, admitOf(id))
+					if err == nil {
+						worst.Store(max(worst.Load(), running.Add(1)))
+					}
+					notRun, settleErr := kernel.Do(ctx, n.Settles, port.Settle{Attempt: id, Incarnation: incarnation})
+					if settleErr == nil && notRun.NotRun == (err == nil) {
+						lies.Add(1)
+					}
+					if err == nil {
+						running.Add(-1)
+						_ = n.Releases.Send(ctx, port.Released{Attempt: id, Status: 200})
+					}
+					cancel()
+				}
+			})
+		}
+		group.Wait()
+		Expect([]int32{worst.Load(), lies.Load()}).To(Equal([]int32{1, 0}))
+		Eventually(func() mesh.Load { return *n.Load.Load() }).Should(Equal(mesh.Load{Limit: 1}))
+	})
+
 	It("settles truthfully: begun, waiting, unknown and of an earlier life", func() {
 		Expect(admit(ctx, admitOf("1"))).To(Succeed())
 		Expect(settle("1", incarnation)).To(BeFalse())
