--- a/decision/quarantine/table.go
+++ b/decision/quarantine/table.go
@@ -14,7 +14,7 @@
 	// crashes are held against it.
 	Span time.Duration
 	// MaxCrashes bounds the crash reports kept, MaxPerCrash the fingerprints of
-	// each; no upstream has more slots than that.
+	// each.
 	MaxCrashes  int
 	MaxPerCrash int
 	// MaxBlocked bounds the fingerprints in quarantine.
@@ -27,8 +27,8 @@
 	MaxSeen int
 }
 
-// DefaultParams returns the values used in production. A full table of crash
-// reports holds 128 × 4096 fingerprints of 8 bytes, 4 MB.
+// DefaultParams returns the values used in production. MaxPerCrash is the
+// largest number of slots that a service record can declare.
 func DefaultParams() Params {
 	return Params{
 		Span: 10 * time.Minute, MaxCrashes: 128, MaxPerCrash: 4096, MaxBlocked: 4096, MaxHarmless: 8192,
