--- /dev/null
+++ b/plugins/linkoverlay/links_test.go
@@ -0,0 +1,163 @@
+package linkoverlay
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/gorilla/websocket"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/fx"
+
+	"teaselring/kernel"
+	"teaselring/mesh"
+	"teaselring/port"
+	"teaselring/wire"
+)
+
+var _ = Describe("a node and a peer of its links", func() {
+	var (
+		view   *port.ViewCell
+		inbox  port.MembersInbox
+		config port.ConfigInbox
+		push   *port.PushRing
+		url    string
+	)
+	hello := wire.Hello{Protocol: wire.Protocol, Node: "peer", Incarnation: 4, PeerAddress: "127.0.0.1:1"}
+
+	BeforeEach(func() {
+		settings, err := kernel.Parse("test", []byte("[link.overlay]\nsend_ring = 16\n"))
+		Expect(err).NotTo(HaveOccurred())
+		view = &port.ViewCell{}
+		view.Store(&mesh.View{Self: "me", Members: []mesh.Member{{Node: "me", Incarnation: 9, State: mesh.NodeAlive}}})
+		address := &port.PeerAddressCell{}
+		own := netip.MustParseAddrPort("127.0.0.1:2")
+		address.Store(&own)
+		config = port.ConfigInbox{Ring: kernel.NewRing[port.In[wire.Message]]("config.offers", 64, kernel.Refuse)}
+		var handler http.Handler
+		app := fx.New(
+			kernel.Options(settings, kernel.NewLogger(GinkgoWriter)),
+			fx.Supply(mesh.Identity{Node: "me"}, view, address, &port.SeedsCell{}, config),
+			fx.Supply(port.PeerTLS{Client: &tls.Config{InsecureSkipVerify: true}}),
+			kernel.ProvideRing[port.MembersIn]("members.updates", 64, kernel.Refuse),
+			fx.Provide(func(r *kernel.Ring[port.MembersIn]) port.MembersInbox { return port.MembersInbox{Ring: r} }),
+			fx.Populate(&inbox, &push),
+			fx.Invoke(func(a *acceptor) { handler = a }),
+		)
+		Expect(app.Start(context.Background())).To(Succeed())
+		server := httptest.NewTLSServer(handler)
+		url = "wss://" + server.Listener.Addr().String() + path
+		DeferCleanup(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			Expect(app.Stop(ctx)).To(Succeed())
+			server.Close()
+		})
+	})
+
+	// connect opens a connection and sends the given Hello.
+	connect := func(h wire.Hello) *websocket.Conn {
+		dialer := websocket.Dialer{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}
+		var conn *websocket.Conn
+		Eventually(func() (err error) { // until the links duty has stored its own Hello
+			conn, _, err = dialer.Dial(url, nil)
+			return err
+		}, "5s").Should(Succeed())
+		DeferCleanup(func() { _ = conn.Close() })
+		b, err := wire.Encode(h)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(conn.WriteMessage(websocket.BinaryMessage, b)).To(Succeed())
+		return conn
+	}
+	next := func() port.MembersIn {
+		var in port.MembersIn
+		Eventually(inbox.C(), "10s").Should(Receive(&in))
+		return in
+	}
+	linked := func() *websocket.Conn {
+		conn := connect(hello)
+		Expect(next().Event).To(HaveValue(Equal(port.LinkEvent{Up: true, Hello: hello})))
+		return conn
+	}
+	send := func(conn *websocket.Conn, m wire.Message) {
+		b, err := wire.Encode(m)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(conn.WriteMessage(websocket.BinaryMessage, b)).To(Succeed())
+	}
+
+	It("hands messages to the duties that own them", func() {
+		conn := linked()
+		send(conn, wire.Heartbeat{Sequence: 1})
+		send(conn, wire.ConfigAck{Version: 3})
+		Expect(next()).To(Equal(port.MembersIn{From: "peer", Message: wire.Heartbeat{Sequence: 1}}))
+		for _, want := range []wire.Message{hello, wire.Heartbeat{Sequence: 1}, wire.ConfigAck{Version: 3}} {
+			Eventually(config.C()).Should(Receive(Equal(port.In[wire.Message]{From: "peer", Message: want})))
+		}
+	})
+
+	DescribeTable("a peer that breaks the protocol loses its link",
+		func(breach func(conn *websocket.Conn)) {
+			breach(linked())
+			Expect(next().Event).To(HaveValue(Equal(port.LinkEvent{Hello: hello, Lost: true})))
+		},
+		Entry("bytes that are no message", func(c *websocket.Conn) {
+			Expect(c.WriteMessage(websocket.BinaryMessage, []byte("?"))).To(Succeed())
+		}),
+		Entry("a second hello", func(c *websocket.Conn) { send(c, hello) }),
+		Entry("a message above the size limit", func(c *websocket.Conn) {
+			_ = c.WriteMessage(websocket.BinaryMessage, make([]byte, wire.MaxMessage+1))
+		}),
+		Entry("a connection reset", func(c *websocket.Conn) { closeNow(c) }),
+	)
+
+	It("does not hold a link that was closed on purpose for lost", func() {
+		text := websocket.FormatCloseMessage(websocket.CloseNormalClosure, "")
+		Expect(linked().WriteMessage(websocket.CloseMessage, text)).To(Succeed())
+		Expect(next().Event).To(HaveValue(Equal(port.LinkEvent{Hello: hello})))
+	})
+
+	DescribeTable("a hello that is refused",
+		func(change func(*wire.Hello)) {
+			h := hello
+			change(&h)
+			conn := connect(h)
+			Expect(conn.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+			_, _, err := conn.ReadMessage() // the node's own hello
+			Expect(err).NotTo(HaveOccurred())
+			_, _, err = conn.ReadMessage()
+			Expect(err).To(HaveOccurred())
+			Expect(inbox.Len()).To(BeZero())
+		},
+		Entry("another protocol", func(h *wire.Hello) { h.Protocol++ }),
+		Entry("no node id", func(h *wire.Hello) { h.Node = "" }),
+		Entry("the node's own id", func(h *wire.Hello) { h.Node = "me" }),
+	)
+
+	// A peer that does not read must not make the node hold messages for it
+	// without a bound, nor slow the links to others.
+	It("closes the link of a peer that does not read", func() {
+		linked()
+		big := wire.ConfigData{Records: []mesh.Record{{RecordKey: mesh.RecordKey{ID: strings.Repeat("x", 900_000)}}}}
+		for range 60 {
+			Expect(push.Send(context.Background(), port.Push{Message: big})).To(Succeed())
+		}
+		Expect(next().Event).To(HaveValue(Equal(port.LinkEvent{Hello: hello, Lost: true})))
+	})
+
+	It("reports a peer whose address nobody listens at as silent", func() {
+		closed, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(closed.Close()).To(Succeed())
+		view.Store(&mesh.View{Self: "me", Members: []mesh.Member{
+			{Node: "gone", Incarnation: 7, State: mesh.NodeAlive, PeerAddress: closed.Addr().String()},
+			{Node: "me", State: mesh.NodeAlive},
+		}})
+		Expect(next().Event).To(HaveValue(Equal(port.LinkEvent{Silent: true, Hello: wire.Hello{Node: "gone", Incarnation: 7}})))
+	})
+})
--- a/plugins/linkoverlay/plan.go
+++ b/plugins/linkoverlay/plan.go
@@ -32,6 +32,9 @@
 	rejoinYoung  = time.Second
 	youngFor     = 30 * time.Second
 	maxHintsHeld = 64
+	// maxDialled links of its own keep a node from dialling addresses out of
+	// touch, so that it has at most 24 links with 16 accepted ones.
+	maxDialled = 2 * overlay.Dials
 )
 
 var backoff = overlay.Backoff{First: 500 * time.Millisecond, Max: 10 * time.Second}
@@ -171,9 +174,9 @@
 	if now.Sub(p.begun) < youngFor {
 		every = rejoinYoung
 	}
-	first := p.rejoin.IsZero()
+	wait := p.rejoin.IsZero() || len(l.byNode)-l.acceptedLinks() >= maxDialled
 	p.rejoin = now.Add(every/2 + time.Duration(rand.Float64()*float64(every)))
-	if first {
+	if wait {
 		return
 	}
 	live := l.ownAddress()
--- a/plugins/upstreamlocal/announce_test.go
+++ b/plugins/upstreamlocal/announce_test.go
@@ -3,15 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
-	"net/netip"
 	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-	"github.com/rcrowley/go-metrics"
 	"go.uber.org/fx"
 
 	"teaselring/kernel"
@@ -55,16 +52,12 @@
 	)
 	BeforeEach(func() {
 		var address *port.AnnounceAddressCell
-		s := defaults()
-		s.Listen = netip.MustParseAddrPort("127.0.0.1:0")
-		s.GoneAfter = kernel.Span(300 * time.Millisecond)
+		settings, err := kernel.Parse("test", []byte("[upstream.local]\nlisten = \"127.0.0.1:0\"\ngone_after = \"300ms\"\n"))
+		Expect(err).NotTo(HaveOccurred())
 		app = fx.New(
-			fx.NopLogger, module(s),
-			fx.Provide(func() metrics.Registry { return metrics.NewRegistry() }),
-			fx.Supply(kernel.NewLogger(io.Discard)),
+			kernel.Options(settings, kernel.NewLogger(GinkgoWriter)),
 			kernel.ProvideRing[port.Local]("members.local", 4, kernel.ReplaceOldest),
 			fx.Populate(&address, &cell, &drain),
-			fx.Invoke(fx.Annotate(runAll, fx.ParamTags(``, `group:"duties"`))),
 		)
 		Expect(app.Start(context.Background())).To(Succeed())
 		url = "http://" + address.Load().String() + "/announce"
@@ -115,26 +108,3 @@
 		Expect(state()).To(Equal(mesh.EndpointDraining))
 	})
 })
-
-// runAll runs duties with the application, as the kernel does.
-func runAll(lc fx.Lifecycle, duties []kernel.Duty) {
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, len(duties))
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			for _, d := range duties {
-				go func() { done <- d.Run(ctx) }()
-			}
-			return nil
-		},
-		OnStop: func(context.Context) error {
-			cancel()
-			for range duties {
-				if err := <-done; err != nil {
-					return err
-				}
-			}
-			return nil
-		},
-	})
-}
