--- a/decision/moves/goodness.go
+++ b/decision/moves/goodness.go
@@ -18,6 +18,9 @@
 	// priorCalls is the weight of the old version's earlier failure rate
 	// against that in the same window.
 	priorCalls = 200
+	// maxNewPerOld is how many new calls for each old one a window may have.
+	// A few old calls say nothing about their rate during an outage.
+	maxNewPerOld = 4
 	// maxGoodness bounds what a version can gather in advance, so that it
 	// loses the evidence soon when it turns bad.
 	maxGoodness = 12
@@ -31,7 +34,7 @@
 // update adds a window of all nodes. Of the new version's calls at most limit
 // count, so that one node can't vouch for it with invented calls.
 func (g *goodness) update(w *window, limit float64, earlier *mesh.Tally) {
-	if w.new.Calls == 0 || w.old.Calls == 0 {
+	if w.new.Calls == 0 || w.old.Calls*maxNewPerOld < w.new.Calls {
 		return
 	}
 	rate := oldRate(&w.old, earlier)
--- a/decision/moves/pool_test.go
+++ b/decision/moves/pool_test.go
@@ -132,6 +132,17 @@
 		Expect(v.Doubt).To(BeFalse())
 	})
 
+	// Nodes enter and leave a doubt one after the other, so some windows have a
+	// few old calls only. Taken as the old version's rate they lost all the
+	// evidence for a good version.
+	It("keeps the evidence of a good version through an outage", func() {
+		t := atFullShare(14, SockOffice)
+		before := t.pool.Verdict().Good
+		t.routes[0] = rates{0.5, 0.5}
+		t.share = 0.97
+		Expect(t.run(20).Good).To(Equal(before))
+	})
+
 	It("ends with a verdict when only the new version fails at half share", func() {
 		t := atFullShare(12, SockOffice)
 		t.routes[0].new = 0.15
