--- a/test/suite/kill_test.go
+++ b/test/suite/kill_test.go
@@ -58,6 +58,7 @@
 		s.recover()
 		s.expectTrue()
 		s.expectMostAnswered(results, nil)
+		Expect(inFlight(s.upstreams[0])).To(BeNumerically(">", 0), "no call was in flight when the upstream was killed")
 	})
 })
 
--- a/test/suite/load_test.go
+++ b/test/suite/load_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -60,6 +61,7 @@
 	}
 	applied(c, "first")
 	s.awaitAll()
+	note("system is up")
 	return s
 }
 
@@ -72,15 +74,20 @@
 }
 
 // awaitThrough waits until calls through a node reach each of the upstreams.
+// The calls come in bursts: single calls all go to the fastest upstreams.
 func (s *system) awaitThrough(n *harness.Node, upstreams ...harness.Upstream) {
 	GinkgoHelper()
-	s.loads++
-	path := fmt.Sprintf("/stock/probe-%d", s.loads)
 	s.H.Until("calls through "+n.Name+" to reach each upstream", func() error {
-		r := call(n, "GET", path, "", nil)
+		s.loads++
+		burst := harness.Load{
+			Name: fmt.Sprintf("burst%d", s.loads), Entries: []*harness.Node{n}, Mix: []harness.Class{harness.Read},
+			Calls: slotsEach * len(s.upstreams), Workers: slotsEach * len(s.upstreams),
+		}
+		results := s.H.Run(burst).Wait()
+		s.results = append(s.results, results...)
 		for _, u := range upstreams {
-			if u.Began(func(c standin.Call) bool { return c.Path == path }) == 0 {
-				return fmt.Errorf("none reached %s; the last was answered %d, code %s, %v", u.Name, r.status, r.code, r.err)
+			if u.Began(func(c standin.Call) bool { return strings.Contains(c.Path, burst.Name+"-") }) == 0 {
+				return fmt.Errorf("%s: no call of %v", u.Name, harness.NewAccount(results, s.journals()...))
 			}
 		}
 		return nil
@@ -107,7 +114,9 @@
 	GinkgoHelper()
 	running := s.H.Run(s.load(calls(), 0.8))
 	fault(running)
+	note("fault is over")
 	results := running.Wait()
+	note("load is over")
 	s.results = append(s.results, results...)
 	return results
 }
@@ -136,9 +145,26 @@
 	GinkgoHelper()
 	account := harness.NewAccount(s.results, s.journals()...)
 	note("all loads: %v", account)
+	for _, u := range s.upstreams {
+		note("%s: %d lines, %d calls never ended", u.Name, len(u.Calls()), inFlight(u))
+	}
 	Expect(account.Faults).To(BeEmpty())
 }
 
+// inFlight counts the calls of an upstream that began and did not end.
+func inFlight(u harness.Upstream) int {
+	n := 0
+	for _, line := range u.Calls() {
+		switch line.Event {
+		case "began":
+			n++
+		case "ended":
+			n--
+		}
+	}
+	return n
+}
+
 // account returns the account of some results and prints it.
 func (s *system) account(results []harness.Result) *harness.Account {
 	account := harness.NewAccount(results, s.journals()...)
