--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,13 @@
 lint:
 	bash tools/lint.sh
 
+measure:
+	go run ./test/measure/calls
+	go run ./test/measure/calls -sizes 6 -big
+
+measure-convergence:
+	go run ./test/measure/convergence
+
 measure-moves:
 	go run ./test/measure/moves -scenarios test/measure/moves/scenarios.toml
 
--- a/decision/moves/settings.go
+++ b/decision/moves/settings.go
@@ -29,7 +29,7 @@
 
 // FalseAlarm is the stated upper bound on the probability that a version no
 // worse than the old one is ever shown to be bad, over all routes and looks.
-func (s Settings) FalseAlarm() float64 { return clamp(0.001*s.Weight, 1e-5, 0.02) }
+func (s Settings) FalseAlarm() float64 { return clamp(0.002*s.Weight, 1e-5, 0.02) }
 
 // Miss is the stated probability that a version failing MeasurableExcess more
 // often than the old one gathers the evidence for full share.
--- a/decision/routing/endpoint.go
+++ b/decision/routing/endpoint.go
@@ -22,6 +22,7 @@
 	limit    int // reported limit, 0 when unknown
 	reported time.Time
 
+	silent     int // attempts in a row that were given up without an answer
 	avoidUntil time.Time
 	strikes    int // failed trials in a row
 	trialUntil time.Time
@@ -50,15 +51,17 @@
 
 // report takes over a reported load. It is called while the attempt is still
 // counted, since the report counts it too. The values are bounded because an
-// upstream may report anything.
-func (e *endpoint) report(load *mesh.Load, now time.Time) {
+// upstream may report anything, and smoothed because all entry nodes that acted
+// on one low report would meet at the same endpoint.
+func (e *endpoint) report(load *mesh.Load, now time.Time, p *Params) {
 	if load == nil {
 		return
 	}
 	slots := e.slots()
 	e.limit = min(max(load.Limit, 1), slots)
 	total := min(max(load.InFlight, 0), slots) + min(max(load.Queued, 0), maxQueue)
-	e.others = math.Max(0, float64(total-e.inFlight))
+	old := e.othersNow(now, p)
+	e.others = old + p.ReportSmoothing*(math.Max(0, float64(total-e.inFlight))-old)
 	e.reported = now
 }
 
@@ -75,14 +78,18 @@
 	return float64(e.slots())
 }
 
-// load is the estimated number of attempts at the endpoint: the own ones, and
-// those of others with a weight that falls with the age of the report.
-func (e *endpoint) load(now time.Time, trust time.Duration) float64 {
+// load is the estimated number of attempts at the endpoint. The own ones count
+// in full, those of others less, since reports lag.
+func (e *endpoint) load(now time.Time, p *Params) float64 {
+	return float64(e.inFlight) + p.ReportWeight*e.othersNow(now, p)
+}
+
+// othersNow is the reported load, less the older the report is.
+func (e *endpoint) othersNow(now time.Time, p *Params) float64 {
 	if e.others == 0 {
-		return float64(e.inFlight)
+		return 0
 	}
-	age := now.Sub(e.reported)
-	return float64(e.inFlight) + e.others*math.Exp(-float64(age)/float64(trust))
+	return e.others * math.Exp(-float64(now.Sub(e.reported))/float64(p.LoadTrust))
 }
 
 // learn updates averages and penalties from an outcome.
@@ -91,9 +98,15 @@
 	case unreachable(o):
 		e.strike(now, p)
 		return
+	case e.givenUp(o, p):
+		if e.silent++; e.silent >= p.SilentCalls {
+			e.strike(now, p)
+			return
+		}
 	case shed(o):
-		e.full(now)
+		e.full(now, p)
 	case answered(o):
+		e.silent = 0
 		e.latency = average(e.latency, float64(o.Duration), p.Smoothing)
 		e.recover(now)
 	}
@@ -127,10 +140,17 @@
 // endpoint that was once slow would lose every comparison for good.
 const leastWeight = 0.05
 
+// givenUp reports whether the attempt waited so long for its answer that the
+// endpoint may be silent. A caller with very short deadlines proves nothing.
+func (e *endpoint) givenUp(o *mesh.Outcome, p *Params) bool {
+	long := max(p.SilentAfter, time.Duration(4*e.latency))
+	return o.Code == result.DeadlineDuring.Number && o.Status == 0 && o.Duration >= long
+}
+
 // full records that the endpoint refused a call under load, which the last
 // report may contradict.
-func (e *endpoint) full(now time.Time) {
-	e.others = math.Max(e.others, e.capacity()-float64(e.inFlight))
+func (e *endpoint) full(now time.Time, p *Params) {
+	e.others = math.Max(e.othersNow(now, p), (e.capacity()-float64(e.inFlight))/p.ReportWeight)
 	e.reported = now
 }
 
@@ -146,6 +166,7 @@
 	}
 	e.strikes++
 	e.avoidUntil = now.Add(span)
+	e.silent = 0
 	e.trialUntil = time.Time{}
 }
 
