--- a/plugins/linkoverlay/setup.go
+++ b/plugins/linkoverlay/setup.go
@@ -18,13 +18,13 @@
 
 // Settings of the plug-in.
 type Settings struct {
-	Heartbeat       kernel.Duration `toml:"heartbeat"`         // default 500ms
-	Silence         kernel.Duration `toml:"silence"`           // default 1500ms; a link silent for so long is closed
-	WriteTimeout    kernel.Duration `toml:"write_timeout"`     // default 1s, for one message
-	DialTimeout     kernel.Duration `toml:"dial_timeout"`      // default 2s, until the peer's Hello
-	MaxAccepted     int             `toml:"max_accepted"`      // default 16 links
-	AcceptPerSecond int             `toml:"accept_per_second"` // default 20 links
-	SendRing        int             `toml:"send_ring"`         // default 256 messages for each link
+	Heartbeat       kernel.Duration `toml:"heartbeat" comment:"time between two heartbeats on a link"`
+	Silence         kernel.Duration `toml:"silence" comment:"silence after which a link is closed"`
+	WriteTimeout    kernel.Duration `toml:"write_timeout" comment:"time to write one message"`
+	DialTimeout     kernel.Duration `toml:"dial_timeout" comment:"time from a dial to the peer's Hello"`
+	MaxAccepted     int             `toml:"max_accepted" comment:"accepted links at a time"`
+	AcceptPerSecond int             `toml:"accept_per_second" comment:"links accepted per second"`
+	SendRing        int             `toml:"send_ring" comment:"messages that wait on one link before it is closed as too slow"`
 }
 
 func defaults() *Settings {
--- a/plugins/membershipview/setup.go
+++ b/plugins/membershipview/setup.go
@@ -18,14 +18,14 @@
 
 // Settings of the plug-in.
 type Settings struct {
-	Seeds        []netip.AddrPort `toml:"seeds"`         // default none; peer addresses of other nodes
-	JoinWait     kernel.Duration  `toml:"join_wait"`     // default 2s; time at start to hear of the node's last incarnation
-	SuspectAfter kernel.Duration  `toml:"suspect_after"` // default 1500ms
-	DeadAfter    kernel.Duration  `toml:"dead_after"`    // default 2500ms
-	TombstoneFor kernel.Duration  `toml:"tombstone_for"` // default 10m
-	MaxMembers   int              `toml:"max_members"`   // default 5000
-	ScanJitter   kernel.Duration  `toml:"scan_jitter"`   // default 10s; upper bound of the wait before the platform is read
-	ScanLimit    int              `toml:"scan_limit"`    // default 64 rows
+	Seeds        []netip.AddrPort `toml:"seeds" comment:"peer addresses of other nodes, to dial at start"`
+	JoinWait     kernel.Duration  `toml:"join_wait" comment:"time at start to hear of the node's last incarnation"`
+	SuspectAfter kernel.Duration  `toml:"suspect_after" comment:"silence of a linked peer after which it is suspected"`
+	DeadAfter    kernel.Duration  `toml:"dead_after" comment:"silence after which a suspected peer is dead"`
+	TombstoneFor kernel.Duration  `toml:"tombstone_for" comment:"time for which dead and left members are remembered"`
+	MaxMembers   int              `toml:"max_members" comment:"members known at most"`
+	ScanJitter   kernel.Duration  `toml:"scan_jitter" comment:"spread of the first read of other nodes from the platform"`
+	ScanLimit    int              `toml:"scan_limit" comment:"rows of other nodes read from the platform"`
 }
 
 func defaults() *Settings {
--- a/plugins/operatorsapi/records.go
+++ b/plugins/operatorsapi/records.go
@@ -54,16 +54,30 @@
 
 // refused answers with the refusal and puts it in the audit trail.
 func (a *api) refused(c *gin.Context, action, subject string, err error, silent bool) {
-	if !silent && a.in.Entries != nil {
+	if !silent {
 		e := result.From(err)
-		_ = a.in.Entries.Send(c.Request.Context(), port.AuditEntry{
-			Time: time.Now(), Who: port.OperatorName(c), Action: action + " refused",
-			Subject: subject, Why: e.Message, Code: e.Code.Number,
+		a.record(port.AuditEntry{
+			Who: port.OperatorName(c), Action: action + " refused", Subject: subject, Why: e.Message, Code: e.Code.Number,
 		})
 	}
 	fail(c, err)
 }
 
+// recordTimeout bounds the wait for a place among the audit entries. During a
+// long outage of the platform the ring is full; the audit duty counts what it
+// could not take.
+const recordTimeout = time.Second
+
+func (a *api) record(entry port.AuditEntry) {
+	if a.in.Entries == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+	defer cancel()
+	entry.Time = time.Now()
+	_ = a.in.Entries.Send(ctx, entry)
+}
+
 func readPublish(c *gin.Context) (port.Publish, error) {
 	request := port.Publish{By: port.OperatorName(c), Why: c.Query("why")}
 	body, err := io.ReadAll(c.Request.Body)
--- a/plugins/operatorsapi/status.go
+++ b/plugins/operatorsapi/status.go
@@ -185,12 +185,8 @@
 	if _, err := kernel.Do(ctx, a.in.Drains, port.Drain{By: by}); err != nil {
 		return err
 	}
-	if a.in.Entries == nil {
-		return nil
-	}
-	return a.in.Entries.Send(ctx, port.AuditEntry{
-		Time: time.Now(), Who: by, Action: "drain", Subject: string(a.in.Identity.Node), To: "draining",
-	})
+	a.record(port.AuditEntry{Who: by, Action: "drain", Subject: string(a.in.Identity.Node), To: "draining"})
+	return nil
 }
 
 func (a *api) drainPeer(ctx context.Context, m *mesh.Member, by string) error {
