Keep evidence reports within a budget of bytes

Cause: 12 nodes with 6 routes would send each other about 25 KB/s of reports at one a second (686 bytes each, about 3 copies), above the 17 KB/s of the control plane. With a report in 3 s a good move was taken back in 5 of 60 platform outages, because windows with few old calls looked faultless. Change: moves.Cadence spaces reports by a budget, but sends cuts and doubts at once; the old version's rate is taken from at least 20 calls; -report-every measures it. At the design scale the reports still exceed the budget.

--- /dev/null
+++ b/decision/moves/cadence_test.go
@@ -0,0 +1,36 @@
+package moves
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"teaselring/mesh"
+)
+
+var _ = Describe("the cadence of reports", func() {
+	// A rule that only counts ticks would delay the news of a cut.
+	It("sends a cut at once and other reports when they are due", func() {
+		c := NewCadence()
+		var sent []uint64
+		for i := uint64(1); i <= 9; i++ {
+			if c.Send(&mesh.Evidence{Move: "m", Sequence: i, Cut: i >= 6}, 4) {
+				sent = append(sent, i)
+			}
+		}
+		Expect(sent).To(Equal([]uint64{1, 5, 6}))
+	})
+
+	// Receivers take a report after a longer gap as a new baseline.
+	It("never leaves a gap that receivers don't bridge", func() {
+		c := NewCadence()
+		Expect(c.Send(&mesh.Evidence{Move: "m", Sequence: 1}, 1000)).To(BeTrue())
+		Expect(c.Send(&mesh.Evidence{Move: "m", Sequence: 1 + maxReportGap}, 1000)).To(BeTrue())
+	})
+
+	DescribeTable("stays within the budget",
+		func(nodes, routes, budget, ticks int) { Expect(Ticks(nodes, routes, budget)).To(Equal(ticks)) },
+		Entry("two nodes", 2, 1, 8000, 1),
+		Entry("a small service", 12, 6, 8000, 4),
+		Entry("a large mesh", 1200, 6, 8000, 311),
+	)
+})
--- a/decision/moves/goodness.go
+++ b/decision/moves/goodness.go
@@ -12,6 +12,9 @@
 	nats [len(Excesses)]float64
 	// fresh counts since the last reset, for the end of a doubt.
 	fresh [len(Excesses)]float64
+	// pending is what has too few old calls to estimate a rate from.
+	pending window
+	limit   float64
 }
 
 const (
@@ -21,12 +24,15 @@
 	// maxNewPerOld is how many new calls for each old one a window may have.
 	// A few old calls say nothing about their rate during an outage.
 	maxNewPerOld = 4
+	// minRateCalls is how many old calls a rate is estimated from: fewer look
+	// faultless too often during an outage.
+	minRateCalls = 20
 	// maxGoodness bounds what a version can gather in advance, so that it
 	// loses the evidence soon when it turns bad.
 	maxGoodness = 12
 	// A burst is more than minBurst failures beyond burstFactor times the
 	// expected ones, which chance brings about in fewer than 1 of 100 windows.
-	minBurst    = 3
+	minBurst    = 1
 	burstFactor = 4
 	minRate     = 0.0005 // assumed lower bound of a failure rate
 )
@@ -37,7 +43,17 @@
 	if w.new.Calls == 0 || w.old.Calls*maxNewPerOld < w.new.Calls {
 		return
 	}
-	rate := oldRate(&w.old, earlier)
+	g.pending.add(w)
+	g.limit += limit
+	if g.pending.old.Calls < minRateCalls {
+		return
+	}
+	w, limit = &g.pending, g.limit
+	g.count(w, limit, oldRate(&w.old, earlier))
+	g.pending, g.limit = window{}, 0
+}
+
+func (g *goodness) count(w *window, limit, rate float64) {
 	for i, excess := range Excesses {
 		gain := math.Min(float64(w.new.Calls), limit) * excess
 		if w.new.Failures > 0 {
--- a/plugins/movesguard/guard.go
+++ b/plugins/movesguard/guard.go
@@ -38,10 +38,12 @@
 	view  *mesh.View
 	cut   map[mesh.MoveID]bool // cuts that were logged
 	ticks int
+	// cadence keeps the reports within the budget.
+	cadence *moves.Cadence
 }
 
 func newDuty(d deps) kernel.Duty {
-	g := &duty{deps: d, cut: map[mesh.MoveID]bool{}}
+	g := newGuard(d)
 	return kernel.Duty{
 		Name: "guard", Owns: "local evidence, local share",
 		In:  []string{"guard.samples", "guard.inbox", "guard.held"},
@@ -50,6 +52,10 @@
 	}
 }
 
+func newGuard(d deps) *duty {
+	return &duty{deps: d, cut: map[mesh.MoveID]bool{}, cadence: moves.NewCadence()}
+}
+
 func (g *duty) run(ctx context.Context) error {
 	ticker := time.NewTicker(g.Settings.Interval.Duration)
 	defer ticker.Stop()
@@ -123,9 +129,15 @@
 	if !g.ready(now) {
 		return
 	}
-	for _, e := range g.guard.Tick(now) {
-		g.note(&e)
-		g.send(ctx, wire.EvidenceReport{Evidence: e}, "")
+	reports := g.guard.Tick(now)
+	budget := int(float64(g.Settings.ReportBudget) * g.Settings.Interval.Seconds())
+	for i := range reports {
+		e := &reports[i]
+		g.note(e)
+		every := moves.Ticks(len(g.view.Members), len(e.Routes), budget/len(reports))
+		if g.cadence.Send(e, every) {
+			g.send(ctx, wire.EvidenceReport{Evidence: *e}, "")
+		}
 	}
 	g.ticks++
 	if g.ticks%repairTicks == 0 {
--- a/plugins/movesguard/guard_test.go
+++ b/plugins/movesguard/guard_test.go
@@ -17,7 +17,7 @@
 
 func guardOn(node mesh.NodeID) *duty {
 	d := deps{
-		Settings: &Settings{Weight: 1, Interval: kernel.Span(time.Second)},
+		Settings: &Settings{Weight: 1, Interval: kernel.Span(time.Second), ReportBudget: 8000},
 		Logger:   kernel.NewLogger(io.Discard),
 		View:     &port.ViewCell{},
 		Samples:  kernel.NewRing[mesh.Outcome]("guard.samples", 16, kernel.ReplaceOldest),
@@ -28,7 +28,7 @@
 		Evidence: &port.EvidenceCell{}, Verdicts: &port.VerdictsCell{},
 	}
 	d.View.Store(&mesh.View{Self: node, Members: []mesh.Member{{Node: node, Incarnation: 7}}})
-	return &duty{deps: d, cut: map[mesh.MoveID]bool{}}
+	return newGuard(d)
 }
 
 func row(share float64, step uint64, now time.Time) mesh.Move {
--- a/plugins/movesguard/setup.go
+++ b/plugins/movesguard/setup.go
@@ -18,8 +18,12 @@
 	// Weight is the cost of missing a bad version divided by the cost of
 	// delaying a good one, 0.1 to 100.
 	Weight float64 `toml:"weight"`
-	// Interval is the time between two reports of evidence.
+	// Interval is the time between two windows of evidence, and the least time
+	// between two reports.
 	Interval kernel.Duration `toml:"interval"`
+	// ReportBudget is what the reports of all nodes may take on this node, in
+	// bytes/s. Reports become rarer, down to one in 10 intervals, to meet it.
+	ReportBudget int `toml:"report_budget"`
 }
 
 // Validate checks the ranges.
@@ -27,6 +31,9 @@
 	if err := kernel.InRange("weight", s.Weight, 0.1, 100); err != nil {
 		return err
 	}
+	if err := kernel.InRange("report_budget", s.ReportBudget, 1000, 1_000_000); err != nil {
+		return err
+	}
 	return kernel.SpanInRange("interval", s.Interval, 500*time.Millisecond, 3*time.Second)
 }
 
@@ -42,7 +49,7 @@
 		Name: "moves.guard",
 		Doc:  "Divides calls during moves and cuts bad upstream versions.",
 		Settings: func() kernel.Validator {
-			return &Settings{Weight: moves.SockOffice.Weight, Interval: kernel.Span(time.Second)}
+			return &Settings{Weight: moves.SockOffice.Weight, Interval: kernel.Span(time.Second), ReportBudget: 8000}
 		},
 		Module: func(v kernel.Validator) fx.Option {
 			return fx.Options(
--- a/test/measure/moves/control.go
+++ b/test/measure/moves/control.go
@@ -23,9 +23,11 @@
 	holders  map[mesh.ServiceID]*held
 	order    []mesh.ServiceID
 	// mail holds what arrives at each node in each of the next ticks.
-	mail  [][linkDelay + 1]parcel
-	trace io.Writer // nil: none
-	ticks int
+	mail     [][linkDelay + 1]parcel
+	trace    io.Writer // nil: none
+	every    int       // ticks between reports
+	cadences []*moves.Cadence
+	ticks    int
 }
 
 type parcel struct {
@@ -43,13 +45,14 @@
 
 func newDecided(s moves.Settings, sc *scenario, seed uint64) *decided {
 	d := &decided{
-		settings: s,
-		rng:      rand.New(rand.NewPCG(seed, 0x6c696e6b73)),
-		holders:  map[mesh.ServiceID]*held{}, shares: make([][]float64, sc.Nodes),
+		settings: s, every: sc.ReportEvery,
+		rng:     rand.New(rand.NewPCG(seed, 0x6c696e6b73)),
+		holders: map[mesh.ServiceID]*held{}, shares: make([][]float64, sc.Nodes),
 		mail: make([][linkDelay + 1]parcel, sc.Nodes),
 	}
 	for i := range sc.Nodes {
 		d.guards = append(d.guards, moves.NewGuard(s, nodeName(i), 1))
+		d.cadences = append(d.cadences, moves.NewCadence())
 		d.shares[i] = make([]float64, len(sc.Service))
 	}
 	for i := range sc.Service {
@@ -117,10 +120,15 @@
 			}
 		}
 	}
-	for n := range d.guards {
-		if n != from {
-			p := d.later(n)
-			p.reports = append(p.reports, reports...)
+	for i := range reports {
+		if !d.cadences[from].Send(&reports[i], d.every) {
+			continue
+		}
+		for n := range d.guards {
+			if n != from {
+				p := d.later(n)
+				p.reports = append(p.reports, reports[i])
+			}
 		}
 	}
 }
--- a/test/measure/moves/main.go
+++ b/test/measure/moves/main.go
@@ -44,6 +44,7 @@
 func main() {
 	path := flag.String("scenarios", "test/measure/moves/scenarios.toml", "scenario file")
 	seeds := flag.Int("seeds", 200, "seeds for each family")
+	every := flag.Int("report-every", 0, "seconds between reports, in place of the scenarios' own")
 	first := flag.Int("first", 0, "number of the first seed")
 	family := flag.String("family", "", "measure only families whose name has this prefix")
 	trace := flag.Int("trace", -1, "print the steps of this seed of each family and stop")
@@ -56,6 +57,11 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
+	for i := range f.Scenario {
+		if *every > 0 {
+			f.Scenario[i].ReportEvery = *every
+		}
+	}
 	all, jobs, err := plan(f, *first, *seeds, *family, *controls)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/test/measure/moves/scenario.go
+++ b/test/measure/moves/scenario.go
@@ -43,8 +43,10 @@
 	Nodes     int             `toml:"nodes"`
 	Upstreams int             `toml:"upstreams"` // of each version
 	Duration  kernel.Duration `toml:"duration"`  // from declaration to target
-	Service   []service       `toml:"service"`
-	Outage    *outage         `toml:"outage"`
+	// ReportEvery is the time between two reports of a node, in seconds.
+	ReportEvery int       `toml:"report_every"`
+	Service     []service `toml:"service"`
+	Outage      *outage   `toml:"outage"`
 }
 
 // service is the truth about one service and its new version.
@@ -124,6 +126,9 @@
 	if s.Upstreams == 0 {
 		s.Upstreams = 4
 	}
+	if s.ReportEvery == 0 {
+		s.ReportEvery = 1
+	}
 	if s.Duration.Duration == 0 {
 		s.Duration = kernel.Span(10 * time.Minute)
 	}
