--- a/Makefile
+++ b/Makefile
@@ -13,4 +13,4 @@
 	bash tools/lint.sh
 
 measure-moves:
-	go run ./test/measure/moves -scenarios test/measure/moves/scenarios.toml
+	@go run ./test/measure/moves -scenarios test/measure/moves/scenarios.toml
