--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	go run ./test/measure/convergence
 
 measure-moves:
-	go run ./test/measure/moves -scenarios test/measure/moves/scenarios.toml
+	@go run ./test/measure/moves -scenarios test/measure/moves/scenarios.toml
 
 # Prints the time added by each policy for choosing an upstream; about 50 s.
 measure-routing:
--- a/kernel/app.go
+++ b/kernel/app.go
@@ -23,12 +23,13 @@
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(settings, logger),
 		fx.Provide(func() metrics.Registry { return metrics.NewRegistry() }),
-		fx.Provide(newInventory),
+		fx.Provide(newInventory, newGrace),
 		fx.Invoke(runDuties),
 	}
 	for _, p := range Plugins() {
 		options = append(options, p.Module(settings.Of(p.Name)))
 	}
+	options = append(options, fx.Invoke(beginGrace))
 	return fx.Options(options...)
 }
 
@@ -37,10 +38,11 @@
 const StopTimeout = time.Hour + time.Minute
 
 // Run starts the application and waits for SIGINT or SIGTERM, then stops it
-// gracefully. A second signal ends the grace by ending the context that
-// shutdown hooks wait with. It returns the exit code of the process.
+// gracefully. A second signal ends the grace of work in progress. It returns
+// the exit code of the process.
 func Run(options ...fx.Option) int {
-	app := fx.New(append(options, fx.StopTimeout(StopTimeout))...)
+	var grace *Grace
+	app := fx.New(append(options, fx.Populate(&grace), fx.StopTimeout(StopTimeout))...)
 	if err := app.Start(context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
@@ -53,9 +55,9 @@
 	case s := <-app.Wait():
 		code = s.ExitCode
 	}
+	go func() { <-signals; grace.End() }()
 	stopCtx, cancel := context.WithTimeout(context.Background(), StopTimeout)
 	defer cancel()
-	go func() { <-signals; cancel() }()
 	if err := app.Stop(stopCtx); err != nil {
 		code = 1
 	}
--- a/plugins/callforward/entry.go
+++ b/plugins/callforward/entry.go
@@ -78,18 +78,6 @@
 	return mesh.AttemptID(hex.EncodeToString(b[:]))
 }
 
-// pickError maps the end of the call's context to a "not run" code: without a
-// target nothing was sent.
-func pickError(ctx context.Context, err error) error {
-	if ctx.Err() == nil {
-		return err
-	}
-	if context.Cause(ctx) == errDeadline {
-		return result.DeadlineBefore.Err()
-	}
-	return result.CallerGone.Err()
-}
-
 // report hands an outcome to the router and waits for a place: a lost outcome
 // would leave its attempt counted as in flight.
 func (e *entry) report(f port.Finished) {
@@ -103,7 +91,7 @@
 func (e *entry) pick(ctx context.Context, p port.Pick) (mesh.Target, error) {
 	target, err := kernel.Do(ctx, e.Picks, p)
 	if err != nil {
-		return target, pickError(ctx, err)
+		return target, beforeStart(ctx, err)
 	}
 	return target, nil
 }
--- a/plugins/callforward/owner.go
+++ b/plugins/callforward/owner.go
@@ -78,7 +78,7 @@
 		Call: a.call, Attempt: a.id, Incarnation: a.target.Incarnation, Version: a.target.Version,
 	})
 	if err != nil {
-		return nil, mesh.Load{}, admissionError(ctx, err)
+		return nil, mesh.Load{}, beforeStart(ctx, err)
 	}
 	answer, err := o.runAdmitted(ctx, a, r, admitted)
 	if err != nil {
@@ -92,18 +92,6 @@
 	return answer, admitted.Load, nil
 }
 
-// admissionError maps the end of the caller's context to a "not run" code: an
-// attempt that was not admitted has not begun.
-func admissionError(ctx context.Context, err error) error {
-	if ctx.Err() == nil {
-		return err
-	}
-	if context.Cause(ctx) == errDeadline {
-		return result.DeadlineBefore.Err()
-	}
-	return result.CallerGone.Err()
-}
-
 func (o *owner) runAdmitted(ctx context.Context, a *attempt, r *http.Request, admitted port.Admitted) (*http.Response, error) {
 	claim := port.Claim{Service: a.call.Service, Caller: a.call.Caller, Key: a.call.Key, Attempt: a.id}
 	claimed := a.call.Class == mesh.ClassOnce && a.call.Key != ""
@@ -183,8 +171,8 @@
 	if !connected {
 		return result.ConnectFailed.Errorf("upstream: %v", err)
 	}
-	if cause := context.Cause(ctx); cause == errDeadline {
-		return errDeadline
+	if ended := endedBy(ctx); ended != nil {
+		return ended
 	}
 	if ctx.Err() != nil {
 		return result.ConnectionLost.Errorf("the caller left during the call")
--- a/plugins/membershipview/setup.go
+++ b/plugins/membershipview/setup.go
@@ -90,6 +90,7 @@
 		kernel.ProvideRing[port.Local]("members.local", 4, kernel.ReplaceOldest),
 		kernel.ProvideRing[kernel.Ask[port.Leaving, struct{}]]("members.leaving", 4, kernel.Refuse),
 		kernel.ProvideDuty(func(p parts) kernel.Duty { return newMembers(p).duty() }),
+		fx.Invoke(leaveAtStop),
 		kernel.ProvideDuty(func(p seedParts) kernel.Duty { return newSeeds(p).duty() }),
 	)
 }
--- a/plugins/movesguard/setup.go
+++ b/plugins/movesguard/setup.go
@@ -16,9 +16,10 @@
 // Settings are the table [moves.guard] of a settings file. The decisions of
 // moves.holder use the same weight and least watch period.
 type Settings struct {
-	Weight   float64         `toml:"weight" comment:"cost of missing a bad version divided by the cost of delaying a good one, 0.1 to 100; sock office 1, licence mesh 10"`
-	MinWatch kernel.Duration `toml:"min_watch" comment:"least time at full share before a move is done, 3s to 24h"`
-	Interval kernel.Duration `toml:"interval" comment:"length of a window of evidence, 500ms to 3s"`
+	Weight       float64         `toml:"weight" comment:"cost of missing a bad version divided by the cost of delaying a good one, 0.1 to 100; sock office 1, licence mesh 10"`
+	MinWatch     kernel.Duration `toml:"min_watch" comment:"least time at full share before a move is done, 3s to 24h"`
+	Interval     kernel.Duration `toml:"interval" comment:"length of a window of evidence and least time between two reports, 500ms to 3s"`
+	ReportBudget int             `toml:"report_budget" comment:"bytes per second that the reports of all nodes may take on this one, 1000 to 1000000; reports become rarer, down to one in 10 intervals, to meet it"`
 }
 
 func (s *Settings) decisions() moves.Settings {
@@ -33,6 +34,9 @@
 	if err := kernel.SpanInRange("min_watch", s.MinWatch, 3*time.Second, 24*time.Hour); err != nil {
 		return err
 	}
+	if err := kernel.InRange("report_budget", s.ReportBudget, 1000, 1_000_000); err != nil {
+		return err
+	}
 	return kernel.SpanInRange("interval", s.Interval, 500*time.Millisecond, 3*time.Second)
 }
 
@@ -49,7 +53,8 @@
 		Doc:  "Divides calls during moves and cuts bad upstream versions.",
 		Settings: func() kernel.Validator {
 			return &Settings{
-				Weight: moves.SockOffice.Weight, MinWatch: kernel.Span(moves.DefaultMinWatch), Interval: kernel.Span(time.Second),
+				Weight: moves.SockOffice.Weight, MinWatch: kernel.Span(moves.DefaultMinWatch),
+				Interval: kernel.Span(time.Second), ReportBudget: 8000,
 			}
 		},
 		Module: func(v kernel.Validator) fx.Option {
