Publish the view at a bounded rate and read seeds again after writing

In a burst of changes every message led to a copy of the view, about 0.3 ms with 1,200 members. The view is now published at most every 20 ms outside of ticks; entries are still spread at once.

Two nodes that start together without seeds in the settings both read the table of nodes before either wrote its row, and met only at the next look minutes later. A node now reads the table once more after its write.

--- a/plugins/membershipview/members.go
+++ b/plugins/membershipview/members.go
@@ -14,6 +14,9 @@
 
 const (
 	tickEvery = 100 * time.Millisecond
+	// Within a burst of changes the view is published at most this often,
+	// outside of ticks: a copy of 1,200 members takes about 0.3 ms.
+	publishEvery = 20 * time.Millisecond
 	// batch bounds the messages that are merged before the view is published.
 	batch = 256
 	// leaveWait is the time from the spread of the node's leaving to the answer
@@ -39,6 +42,7 @@
 	spread    mesh.Version // version in force that was spread last
 	spreadDue time.Time    // when a newer one is spread, zero when there is none
 	leaving   []leave
+	published time.Time
 	ticks     uint64
 }
 
@@ -82,7 +86,9 @@
 		if err != nil {
 			return err
 		}
-		m.publish()
+		if now := time.Now(); now.Sub(m.published) >= publishEvery {
+			m.publish(now)
+		}
 	}
 }
 
@@ -94,7 +100,7 @@
 		Node: m.Identity.Node, Zone: m.Identity.Zone, Region: m.Identity.Region,
 		Incarnation: mesh.Incarnation(now.UnixMilli()),
 	}, m.Settings.config())
-	m.publish()
+	m.publish(now)
 }
 
 // receive handles a message and those that wait behind it.
@@ -234,8 +240,11 @@
 	}
 }
 
-func (m *members) publish() {
+// publish stores the view if it has changed. What is left out within
+// publishEvery is stored at the next tick.
+func (m *members) publish(now time.Time) {
 	if view := m.state.View(); view != nil {
 		m.View.Store(view)
+		m.published = now
 	}
 }
--- a/plugins/membershipview/members_test.go
+++ b/plugins/membershipview/members_test.go
@@ -21,6 +21,7 @@
 	stall  bool         // no operation ends before its context
 	failed atomic.Int32 // writes that fail before one succeeds
 	writes atomic.Int32
+	scans  atomic.Int32
 	rows   []port.Row
 }
 
@@ -31,6 +32,9 @@
 		<-ctx.Done()
 		return nil, result.PlatformDown.Err()
 	}
+	if after == "z" { // the first part of a look
+		t.scans.Add(1)
+	}
 	var rows []port.Row
 	for _, r := range t.rows {
 		if r.Key > after && len(rows) < limit {
@@ -111,6 +115,8 @@
 		Eventually(func() []string { return seeds.Load().Addresses }, "3s").
 			Should(Equal([]string{"127.0.0.1:10", "127.0.0.1:11", "127.0.0.1:13"}))
 		Eventually(t.writes.Load, "10s").Should(BeEquivalentTo(1))
+		// The second look finds nodes that wrote their rows after the first.
+		Eventually(t.scans.Load, "3s").Should(BeEquivalentTo(2))
 		Consistently(t.writes.Load, "200ms").Should(BeEquivalentTo(1))
 	})
 
--- a/plugins/membershipview/seeds.go
+++ b/plugins/membershipview/seeds.go
@@ -52,7 +52,7 @@
 	if s.Table == nil {
 		return nil
 	}
-	timer := time.NewTimer(time.Duration(rand.Float64() * float64(s.Settings.ScanJitter.Duration)))
+	timer := time.NewTimer(s.jitter())
 	defer timer.Stop()
 	for {
 		select {
@@ -64,6 +64,10 @@
 	}
 }
 
+func (s *seeds) jitter() time.Duration {
+	return time.Duration(rand.Float64() * float64(s.Settings.ScanJitter.Duration))
+}
+
 func (s *seeds) configured() []string {
 	var list []string
 	for _, a := range s.Settings.Seeds {
@@ -79,6 +83,7 @@
 	if !s.scanned {
 		err = s.scan(ctx)
 	}
+	before := s.written
 	if err == nil && !s.written {
 		err = s.write(ctx)
 	}
@@ -93,6 +98,11 @@
 		return time.Second
 	}
 	s.scanned = false
+	if !before {
+		// Of two nodes that read before either wrote, the later one to write
+		// finds the other now.
+		return s.jitter()
+	}
 	return rescanEvery/2 + time.Duration(rand.Float64()*float64(rescanEvery))
 }
 
