Wait for the first view in the eight-node tests

With one processor a test read the view before the members duty had stored it and panicked, once in five runs.

--- a/test/links/node_test.go
+++ b/test/links/node_test.go
@@ -166,8 +166,12 @@
 
 // alive returns the number of members that the node holds for alive.
 func (n *node) alive() int {
+	view := n.view.Load()
+	if view == nil { // the members duty has not run yet
+		return 0
+	}
 	count := 0
-	for _, m := range n.view.Load().Members {
+	for _, m := range view.Members {
 		if m.State == mesh.NodeAlive {
 			count++
 		}
