--- a/kernel/duty.go
+++ b/kernel/duty.go
@@ -39,11 +39,12 @@
 type dutiesIn struct {
 	fx.In
 	Duties []Duty `group:"duties"`
+	Grace  *Grace
 	Logger *log.Logger
 }
 
-// runDuties starts every duty with the application and waits for all of them
-// when it stops.
+// runDuties starts every duty with the application. When the application stops,
+// it first lets work in progress end and then stops all duties.
 func runDuties(lc fx.Lifecycle, stop fx.Shutdowner, in dutiesIn) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
@@ -55,6 +56,7 @@
 			return nil
 		},
 		OnStop: func(stopCtx context.Context) error {
+			in.Grace.drain(stopCtx)
 			cancel()
 			return waitGroup(stopCtx, &running)
 		},
--- a/kernel/grace.go
+++ b/kernel/grace.go
@@ -2,35 +2,38 @@
 
 import (
 	"context"
-
-	"go.uber.org/fx"
+	"sync"
 )
 
-// Grace is the time that a stopping process gives to work in progress. It
-// begins when the application is told to stop, before any part of it has
-// stopped, and ends with the second signal.
+// Grace is the time that a stopping process gives to work in progress. While it
+// lasts, all duties still run.
 type Grace struct {
-	begun, over context.Context
-	begin, end  context.CancelFunc
+	over   context.Context
+	end    context.CancelFunc
+	drains []func(over context.Context)
 }
 
 func newGrace() *Grace {
 	g := &Grace{}
-	g.begun, g.begin = context.WithCancel(context.Background())
 	g.over, g.end = context.WithCancel(context.Background())
 	return g
 }
 
-// Begun ends when the application begins to stop.
-func (g *Grace) Begun() context.Context { return g.begun }
-
-// Over ends when work in progress must be cut short.
-func (g *Grace) Over() context.Context { return g.over }
+// Drain registers a function that finishes work in progress. All of them start
+// at once when the process is told to stop; the duties run until all have
+// returned. The context ends when work must be cut short. Drain is called while
+// the application is built.
+func (g *Grace) Drain(f func(over context.Context)) { g.drains = append(g.drains, f) }
 
 // End cuts work in progress short.
 func (g *Grace) End() { g.end() }
 
-// beginGrace is invoked last, so that its hook is the first to run at a stop.
-func beginGrace(lc fx.Lifecycle, g *Grace) {
-	lc.Append(fx.Hook{OnStop: func(context.Context) error { g.begin(); return nil }})
+// drain runs all registered functions and waits for them or the end of ctx.
+func (g *Grace) drain(ctx context.Context) {
+	defer context.AfterFunc(ctx, g.end)()
+	var draining sync.WaitGroup
+	for _, f := range g.drains {
+		draining.Go(func() { f(g.over) })
+	}
+	_ = waitGroup(ctx, &draining)
 }
--- a/port/serve.go
+++ b/port/serve.go
@@ -35,41 +35,27 @@
 // answered with the reason.
 const tellTimeout = 2 * time.Second
 
-// StartWith binds the listener when the application starts. When the
-// application begins to stop, all listeners are closed at once and requests in
-// progress are waited for. At the end of the grace their contexts end with
-// ErrStopping, so that each can be answered.
+// StartWith binds the listener when the application starts. When the process is
+// told to stop, the listener is closed at once and requests in progress are
+// waited for. When they must be cut short, their contexts end with ErrStopping,
+// so that each can be answered.
 func (l Listener) StartWith(lc fx.Lifecycle, logger *log.Logger, grace *kernel.Grace) {
 	base, cut := context.WithCancelCause(context.Background())
 	l.Server.BaseContext = func(net.Listener) context.Context { return base }
-	stopped := make(chan error, 1)
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			context.AfterFunc(grace.Begun(), func() { stopped <- l.stop(grace, cut) })
-			return l.start(logger)
-		},
-		OnStop: func(ctx context.Context) error {
-			select {
-			case err := <-stopped:
-				return err
-			case <-ctx.Done():
-				return l.Server.Close()
-			}
-		},
-	})
+	lc.Append(fx.StartHook(func() error { return l.start(logger) }))
+	grace.Drain(func(over context.Context) { l.stop(over, cut) })
 }
 
-func (l Listener) stop(grace *kernel.Grace, cut context.CancelCauseFunc) error {
-	if l.Server.Shutdown(grace.Over()) == nil {
-		return nil
+func (l Listener) stop(over context.Context, cut context.CancelCauseFunc) {
+	if l.Server.Shutdown(over) == nil {
+		return
 	}
 	cut(ErrStopping)
 	tell, cancel := context.WithTimeout(context.Background(), tellTimeout)
 	defer cancel()
-	if l.Server.Shutdown(tell) == nil {
-		return nil
+	if l.Server.Shutdown(tell) != nil {
+		_ = l.Server.Close()
 	}
-	return l.Server.Close()
 }
 
 func (l Listener) start(logger *log.Logger) error {
