Measure what a move in progress costs the nodes

Cause: the cost of the guard and the holder of moves had no figure. Change: the convergence program declares a move at the end and reads the same meters as for idle nodes.

--- a/test/measure/convergence/main.go
+++ b/test/measure/convergence/main.go
@@ -26,6 +26,7 @@
 	settle    = flag.Duration("settle", 13*time.Second, "wait after the start, in which surplus links are closed")
 	upstreams = flag.Int("upstreams", 12, "largest number of nodes that get upstreams beside them")
 	failures  = flag.Bool("failures", true, "measure failures too")
+	moves     = flag.Bool("moves", true, "measure what one move in progress costs, last")
 	limit     = flag.Duration("limit", 10*time.Minute, "time after which the program ends, whatever it hangs on")
 )
 
@@ -62,6 +63,9 @@
 		m.outageAfterAcceptance()
 		m.pauseZone()
 	}
+	if *moves {
+		m.moveInProgress()
+	}
 }
 
 // designEvery is the mean time between changes at 1,000 a day.
