--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,10 @@
 .PHONY: build demo test lint measure measure-moves measure-convergence measure-routing
 
 build:
-	go build -o bin/ ./cmd/... ./test/platform ./test/upstream
+	go build -o bin/ ./cmd/teasel-node ./cmd/teaselctl ./cmd/teasel-demo ./test/platform ./test/upstream
+	bash tools/check-libc.sh
 
+# Shows a good move finish and a bad one taken back; under 60 s.
 demo:
 	go run ./cmd/teasel-demo
 
@@ -20,7 +22,7 @@
 	go run ./test/measure/convergence
 
 measure-moves:
-	go run ./test/measure/moves -scenarios test/measure/moves/scenarios.toml
+	@go run ./test/measure/moves -scenarios test/measure/moves/scenarios.toml
 
 # Prints the time added by each policy for choosing an upstream; about 50 s.
 measure-routing:
--- a/plugins/callforward/owner.go
+++ b/plugins/callforward/owner.go
@@ -50,7 +50,7 @@
 		r.Body = &trackedBody{ReadCloser: r.Body, patience: patience, touched: new(atomic.Bool)}
 	}
 	answer, load, err := o.run(ctx, a, r)
-	if load.Limit > 0 {
+	if load := o.load(load); load.Limit > 0 {
 		w.Header().Set(headerLoad, formatLoad(load))
 	}
 	if err != nil {
@@ -61,6 +61,16 @@
 	copyAnswer(w, answer, patience)
 }
 
+// load returns the newest load of the upstream, or else the one at admission.
+func (o *owner) load(admitted mesh.Load) mesh.Load {
+	if o.in.Load != nil {
+		if newest := o.in.Load.Load(); newest != nil {
+			return *newest
+		}
+	}
+	return admitted
+}
+
 // run admits the attempt, claims its key and sends it to the upstream. The
 // slot is released when the answer's body is closed.
 func (o *owner) run(ctx context.Context, a *attempt, r *http.Request) (*http.Response, mesh.Load, error) {
@@ -68,7 +78,7 @@
 		Call: a.call, Attempt: a.id, Incarnation: a.target.Incarnation, Version: a.target.Version,
 	})
 	if err != nil {
-		return nil, mesh.Load{}, admissionError(ctx, err)
+		return nil, mesh.Load{}, beforeStart(ctx, err)
 	}
 	answer, err := o.runAdmitted(ctx, a, r, admitted)
 	if err != nil {
@@ -82,18 +92,6 @@
 	return answer, admitted.Load, nil
 }
 
-// admissionError maps the end of the caller's context to a "not run" code: an
-// attempt that was not admitted has not begun.
-func admissionError(ctx context.Context, err error) error {
-	if ctx.Err() == nil {
-		return err
-	}
-	if context.Cause(ctx) == errDeadline {
-		return result.DeadlineBefore.Err()
-	}
-	return result.CallerGone.Err()
-}
-
 func (o *owner) runAdmitted(ctx context.Context, a *attempt, r *http.Request, admitted port.Admitted) (*http.Response, error) {
 	claim := port.Claim{Service: a.call.Service, Caller: a.call.Caller, Key: a.call.Key, Attempt: a.id}
 	claimed := a.call.Class == mesh.ClassOnce && a.call.Key != ""
@@ -173,8 +171,8 @@
 	if !connected {
 		return result.ConnectFailed.Errorf("upstream: %v", err)
 	}
-	if cause := context.Cause(ctx); cause == errDeadline {
-		return errDeadline
+	if ended := endedBy(ctx); ended != nil {
+		return ended
 	}
 	if ctx.Err() != nil {
 		return result.ConnectionLost.Errorf("the caller left during the call")
--- a/plugins/callforward/timeout.go
+++ b/plugins/callforward/timeout.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"teaselring/mesh"
+	"teaselring/port"
 	"teaselring/result"
 )
 
@@ -23,6 +24,30 @@
 	extend  bool
 }
 
+// endedBy returns why this node ended a call that was in progress, or nil when
+// it did not: its time ran out, or the node is stopping.
+func endedBy(ctx context.Context) error {
+	if cause := context.Cause(ctx); cause == errDeadline || cause == port.ErrStopping {
+		return cause
+	}
+	return nil
+}
+
+// beforeStart maps the end of a call's context to a code that says "not run",
+// for a call of which nothing was sent yet. An error for another reason is
+// returned as it is.
+func beforeStart(ctx context.Context, err error) error {
+	switch {
+	case ctx.Err() == nil:
+		return err
+	case context.Cause(ctx) == errDeadline:
+		return result.DeadlineBefore.Err()
+	case context.Cause(ctx) == port.ErrStopping:
+		return result.Stopped.Err()
+	}
+	return result.CallerGone.Err()
+}
+
 // withPatience returns a context that ends with errDeadline as its cause.
 func withPatience(ctx context.Context, class mesh.Class, left, timeout time.Duration) (context.Context, *patience, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/plugins/edgeoperators/setup.go
+++ b/plugins/edgeoperators/setup.go
@@ -56,7 +56,7 @@
 		},
 		Module: func(v kernel.Validator) fx.Option {
 			return fx.Invoke(func(lc fx.Lifecycle, in listenerIn) {
-				listener(v.(*Settings), in).StartWith(lc, in.Logger)
+				listener(v.(*Settings), in).StartWith(lc, in.Logger, in.Grace)
 			})
 		},
 	})
@@ -64,6 +64,7 @@
 
 type listenerIn struct {
 	fx.In
+	Grace   *kernel.Grace
 	Logger  *log.Logger
 	Metrics metrics.Registry
 	Routes  []port.OperatorRoute `group:"operator_routes"`
--- a/plugins/movesguard/guard.go
+++ b/plugins/movesguard/guard.go
@@ -43,10 +43,12 @@
 	// that was taken back.
 	synced bool
 	alone  int // ticks without another live member
+	// cadence keeps the reports within the budget.
+	cadence *moves.Cadence
 }
 
 func newDuty(d deps) kernel.Duty {
-	g := &duty{deps: d, cut: map[mesh.MoveID]bool{}}
+	g := newGuard(d)
 	return kernel.Duty{
 		Name: "guard", Owns: "local evidence, local share",
 		In:  []string{"guard.samples", "guard.inbox", "guard.held"},
@@ -55,6 +57,10 @@
 	}
 }
 
+func newGuard(d deps) *duty {
+	return &duty{deps: d, cut: map[mesh.MoveID]bool{}, cadence: moves.NewCadence()}
+}
+
 func (g *duty) run(ctx context.Context) error {
 	ticker := time.NewTicker(g.Settings.Interval.Duration)
 	defer ticker.Stop()
@@ -137,14 +143,17 @@
 	if !g.synced {
 		g.sync(ctx)
 	}
-	g.ticks++
-	report := g.ticks%g.reportTicks() == 0
-	for _, e := range g.guard.Tick(now) {
-		g.note(&e)
-		if report || e.Cut {
-			g.send(ctx, wire.EvidenceReport{Evidence: e}, "")
+	reports := g.guard.Tick(now)
+	budget := int(float64(g.Settings.ReportBudget) * g.Settings.Interval.Seconds())
+	for i := range reports {
+		e := &reports[i]
+		g.note(e)
+		every := moves.Ticks(len(g.view.Members), len(e.Routes), budget/len(reports))
+		if g.cadence.Send(e, every) {
+			g.send(ctx, wire.EvidenceReport{Evidence: *e}, "")
 		}
 	}
+	g.ticks++
 	if g.ticks%repairTicks == 0 {
 		g.send(ctx, wire.Moves{Moves: g.guard.Table()}, "")
 	}
@@ -157,14 +166,8 @@
 	repairTicks = 30
 	// aloneTicks is how many ticks a node without peers waits for news of moves.
 	aloneTicks = 5
-	// membersPerTick spreads reports over more ticks in a large mesh: every
-	// report reaches every node, so their number grows with the square of the
-	// members otherwise.
-	membersPerTick = 100
 )
 
-func (g *duty) reportTicks() int { return 1 + len(g.view.Members)/membersPerTick }
-
 // sync asks the linked peers for the moves that they know.
 func (g *duty) sync(ctx context.Context) {
 	g.send(ctx, wire.Moves{Request: true}, "")
