--- a/test/harness/account.go
+++ b/test/harness/account.go
@@ -121,6 +121,9 @@
 	for _, number := range slices.Sorted(maps.Keys(a.Codes)) {
 		codes = append(codes, fmt.Sprintf("%s=%d", result.ByNumber(number).Name, a.Codes[number]))
 	}
+	for _, r := range a.Broken[:min(len(a.Broken), 3)] {
+		codes = append(codes, fmt.Sprintf("(%s %s status %d: %v)", r.Method, r.Path, r.Status, r.Err))
+	}
 	return fmt.Sprintf("calls=%d answered=%d refused=%d broken=%d %s faults=%d",
 		a.Calls, a.Answered, a.Refused, len(a.Broken), strings.Join(codes, " "), len(a.Faults))
 }
--- a/test/harness/proxy.go
+++ b/test/harness/proxy.go
@@ -197,11 +197,13 @@
 // up on a connection whose receiver has left.
 func (s *silence) Cleanup(stub *toxics.ToxicStub) {
 	c := stub.State.(*connection)
+deliver:
 	for _, chunk := range c.held {
 		select {
 		case stub.Output <- chunk:
 		case <-time.After(time.Second):
 			c.ended = true
+			break deliver
 		}
 	}
 	if c.ended {
