Free the key of a claim that is granted after its call has left

Cause: the claim writer ignored that the asker had left when it granted a claim. Its row stayed although the call never began, so that a caller who was told "not run" (stopped) was answered key_may_have_run for ever. Found by the test of a platform that does not answer: batches that waited in the ring during the fault were written after it. Ruled out: rows written during the fault (the stand-in applies nothing then), and refused claims, which are freed already. Claims whose call has left before the write are not written at all. Open: a write that the platform applies after the claim was looked up for freeing stays claimed.

--- a/plugins/oncekeys/oncekeys_test.go
+++ b/plugins/oncekeys/oncekeys_test.go
@@ -169,4 +169,23 @@
 		w.freeRefused(context.Background())
 		Expect(newNode(table).claim("k", "b")).To(Equal(result.OK))
 	})
+
+	// The caller is told "not run", so its next try with the key must run.
+	It("that were written after their call left are freed later", func() {
+		w := &writer{platform: table, refused: metrics.NewCounter()}
+		ring := kernel.NewRing[claimAsk]("once.claims", 1, kernel.Refuse)
+		ctx, cancel := context.WithCancel(context.Background())
+		left := make(chan error)
+		go func() {
+			_, err := kernel.Do(ctx, ring, claimOf("k", "a"))
+			left <- err
+		}()
+		ask := <-ring.C()
+		Expect(table.Commit(ctx, w.claimTxn([]claimAsk{ask}))).To(Succeed())
+		cancel()
+		Expect(<-left).To(HaveOccurred())
+		w.grant([]claimAsk{ask})
+		w.freeRefused(context.Background())
+		Expect(newNode(table).claim("k", "b")).To(Equal(result.OK))
+	})
 })
--- a/plugins/oncekeys/writer.go
+++ b/plugins/oncekeys/writer.go
@@ -25,7 +25,7 @@
 	patience time.Duration
 	batches  metrics.Counter
 	refused  metrics.Counter
-	// refusedClaims were answered "not run" although their rows may exist. They
+	// refusedClaims did not start their call although their rows may exist. They
 	// are freed when the platform answers again, so that the caller's next try
 	// with the same key is not taken for a second run.
 	refusedClaims []port.Claim
@@ -100,7 +100,7 @@
 		err := w.platform.Commit(ctx, w.claimTxn(claims))
 		switch result.Of(err) {
 		case result.OK:
-			grant(claims)
+			w.grant(claims)
 			return
 		case result.RowConflict, result.PlatformUnknown:
 			claims = w.settleExisting(ctx, claims)
@@ -115,11 +115,15 @@
 	}
 }
 
-// refuseRepeated keeps one claim of each key: a transaction can't create a row twice.
+// refuseRepeated keeps one claim of each key, since a transaction can't create
+// a row twice, and drops those whose call has left.
 func (w *writer) refuseRepeated(claims []claimAsk) []claimAsk {
 	seen := make(map[string]bool, len(claims))
 	kept := claims[:0]
 	for _, ask := range claims {
+		if ask.Closed() {
+			continue
+		}
 		key := rowKey(ask.Query)
 		if seen[key] {
 			ask.Fail(result.KeyMayHaveRun.Errorf("another call with the key is being claimed"))
@@ -159,7 +163,7 @@
 			ask.Fail(err)
 			continue
 		}
-		ask.Answer(port.Claimed{})
+		w.grant([]claimAsk{ask})
 	}
 	return rest
 }
@@ -172,9 +176,19 @@
 	return once.Judge(row, attempt)
 }
 
-func grant(claims []claimAsk) {
+// grant answers claims whose rows are written. A call that left before never
+// begins, so its key is freed.
+func (w *writer) grant(claims []claimAsk) {
 	for _, ask := range claims {
-		ask.Answer(port.Claimed{})
+		if !ask.Answer(port.Claimed{}) {
+			w.freeLater(ask.Query)
+		}
+	}
+}
+
+func (w *writer) freeLater(c port.Claim) {
+	if len(w.refusedClaims) < maxRefusedClaims {
+		w.refusedClaims = append(w.refusedClaims, c)
 	}
 }
 
@@ -184,9 +198,7 @@
 	w.refused.Inc(int64(len(claims)))
 	for _, ask := range claims {
 		ask.Fail(result.KeyStoreDown.Errorf("claim not written: %v", cause))
-		if len(w.refusedClaims) < maxRefusedClaims {
-			w.refusedClaims = append(w.refusedClaims, ask.Query)
-		}
+		w.freeLater(ask.Query)
 	}
 }
 
