--- a/plugins/linkoverlay/linkoverlay_suite_test.go
+++ b/plugins/linkoverlay/linkoverlay_suite_test.go
@@ -7,7 +7,7 @@
 	"github.com/onsi/gomega"
 )
 
-func TestSuite(t *testing.T) {
+func TestLinkOverlay(t *testing.T) {
 	gomega.RegisterFailHandler(ginkgo.Fail)
-	ginkgo.RunSpecs(t, "link.overlay")
+	ginkgo.RunSpecs(t, "linkoverlay")
 }
