Let a node leave before its listeners close

Cause: no shutdown hook asked the members duty to spread that the node leaves, so that entry nodes went on sending calls to a node that had got SIGTERM for as long as one of its calls ran; nor was its upstream drained. Found by the test of a slow upload during SIGTERM of its owner node. Ruled out: a late view of one entry node (calls of all entry nodes arrived), and the upstream's own draining, which the test passes.

--- a/plugins/membershipview/setup.go
+++ b/plugins/membershipview/setup.go
@@ -3,6 +3,7 @@
 package membershipview
 
 import (
+	"context"
 	"net/netip"
 	"time"
 
@@ -89,11 +90,26 @@
 		kernel.ProvideRing[port.MembersIn]("members.updates", 1024, kernel.Refuse),
 		kernel.ProvideRing[port.Local]("members.local", 4, kernel.ReplaceOldest),
 		kernel.ProvideRing[kernel.Ask[port.Leaving, struct{}]]("members.leaving", 4, kernel.Refuse),
+		kernel.ProvideBeforeStop(leaveFirst),
 		kernel.ProvideDuty(func(p parts) kernel.Duty { return newMembers(p).duty() }),
 		kernel.ProvideDuty(func(p seedParts) kernel.Duty { return newSeeds(p).duty() }),
 	)
 }
 
+// leaveTimeout bounds the spread of the node's leaving before it stops.
+const leaveTimeout = time.Second
+
+// leaveFirst lets other nodes know that the node leaves before its listeners
+// close, so that they send it no new calls.
+func leaveFirst(ring *port.LeavingRing) kernel.BeforeStop {
+	return func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+		defer cancel()
+		_, err := kernel.Do(ctx, ring, port.Leaving{})
+		return err
+	}
+}
+
 // parts is what the members duty is built from.
 type parts struct {
 	fx.In
--- a/plugins/upstreamlocal/setup.go
+++ b/plugins/upstreamlocal/setup.go
@@ -3,6 +3,7 @@
 package upstreamlocal
 
 import (
+	"context"
 	"net/netip"
 	"time"
 
@@ -54,12 +55,27 @@
 		),
 		kernel.ProvideRing[announcement]("announce.requests", 16, kernel.Refuse),
 		kernel.ProvideRing[kernel.Ask[port.Drain, struct{}]]("announce.drain", 4, kernel.Refuse),
+		kernel.ProvideBeforeStop(drainFirst),
 		kernel.ProvideDuty(func(p parts) kernel.Duty { return newAnnounce(p).duty() }),
 		kernel.ProvideDuty((*listener).duty),
 		fx.Invoke(func(lc fx.Lifecycle, l *listener) { lc.Append(fx.StartHook(l.open)) }),
 	)
 }
 
+// drainTimeout bounds the drain of the upstream before the node stops.
+const drainTimeout = time.Second
+
+// drainFirst drains the upstream when the node stops: entry nodes whose view
+// lags are refused after the grace. Without an upstream there is nothing to do.
+func drainFirst(ring *port.DrainRing) kernel.BeforeStop {
+	return func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+		defer cancel()
+		_, err := kernel.Do(ctx, ring, port.Drain{By: "stop of the node"})
+		return err
+	}
+}
+
 // parts is what the announce duty is built from.
 type parts struct {
 	fx.In
