--- a/decision/moves/cadence.go
+++ b/decision/moves/cadence.go
@@ -1,10 +1,15 @@
 package moves
 
-import "teaselring/mesh"
+import (
+	"slices"
+
+	"teaselring/mesh"
+)
 
 // Cadence decides which of a node's reports are sent, so that the reports of
 // all nodes stay within the control plane's budget. A report that tells of a
-// cut or a doubt is sent at once.
+// cut or a doubt is sent at once; one that tells of no
+// further call is sent only to keep receivers from taking a new baseline.
 type Cadence struct {
 	sent map[mesh.MoveID]mesh.Evidence
 }
@@ -17,11 +22,14 @@
 // take the second one as a new baseline, so n is bounded by that.
 func (c *Cadence) Send(e *mesh.Evidence, n int) bool {
 	last, known := c.sent[e.Move]
-	due := e.Sequence-last.Sequence >= uint64(min(n, maxReportGap))
+	gap := e.Sequence - last.Sequence
+	due := gap >= maxReportGap || gap >= uint64(n) && !slices.Equal(e.Routes, last.Routes)
 	if known && !due && e.Cut == last.Cut && e.Doubt == last.Doubt {
 		return false
 	}
-	c.sent[e.Move] = mesh.Evidence{Sequence: e.Sequence, Cut: e.Cut, Doubt: e.Doubt}
+	c.sent[e.Move] = mesh.Evidence{
+		Sequence: e.Sequence, Cut: e.Cut, Doubt: e.Doubt, Routes: slices.Clone(e.Routes),
+	}
 	return true
 }
 
@@ -29,9 +37,10 @@
 const (
 	reportBytes = 60
 	routeBytes  = 105
-	// copies is an estimate of how often a report arrives over different
-	// links: each node has 4 links of its own and forwards what is new to it.
-	copies = 3
+	// copies is how many messages a node sends and receives for one report: 10
+	// to 14 were measured with 12 to 150 nodes (docs/CAPACITY.md). Each node
+	// has about 8 links and forwards what is new to it.
+	copies = 12
 )
 
 // Ticks returns how many ticks apart reports should be for a move with so many
--- a/kernel/app.go
+++ b/kernel/app.go
@@ -29,7 +29,6 @@
 	for _, p := range Plugins() {
 		options = append(options, p.Module(settings.Of(p.Name)))
 	}
-	options = append(options, fx.Invoke(runBeforeStop))
 	return fx.Options(options...)
 }
 
--- a/kernel/duty.go
+++ b/kernel/duty.go
@@ -38,13 +38,15 @@
 
 type dutiesIn struct {
 	fx.In
-	Duties []Duty `group:"duties"`
+	Duties []Duty       `group:"duties"`
+	Before []BeforeStop `group:"before_stop"`
 	Grace  *Grace
 	Logger *log.Logger
 }
 
 // runDuties starts every duty with the application. When the application stops,
-// it first lets work in progress end and then stops all duties.
+// it first runs the BeforeStop hooks, then lets work in progress end, and then
+// stops all duties.
 func runDuties(lc fx.Lifecycle, stop fx.Shutdowner, in dutiesIn) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
@@ -56,6 +58,7 @@
 			return nil
 		},
 		OnStop: func(stopCtx context.Context) error {
+			runBeforeStop(stopCtx, in.Before)
 			in.Grace.drain(stopCtx)
 			cancel()
 			return waitGroup(stopCtx, &running)
--- a/kernel/grace.go
+++ b/kernel/grace.go
@@ -20,8 +20,7 @@
 }
 
 // Drain registers a function that finishes work in progress. All of them start
-// at once when the process is told to stop; the duties run until all have
-// returned. The context ends when work must be cut short. Drain is called while
+// at once after the BeforeStop hooks; the duties run until all have returned. The context ends when work must be cut short. Drain is called while
 // the application is built.
 func (g *Grace) Drain(f func(over context.Context)) { g.drains = append(g.drains, f) }
 
--- a/kernel/stop.go
+++ b/kernel/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"go.uber.org/fx"
 )
@@ -15,17 +16,11 @@
 	return fx.Provide(fx.Annotate(constructor, fx.ResultTags(`group:"before_stop"`)))
 }
 
-type beforeStopIn struct {
-	fx.In
-	Hooks []BeforeStop `group:"before_stop"`
-}
-
-// runBeforeStop is invoked after everything else, since stop hooks run in the
-// reverse order of their registration.
-func runBeforeStop(lc fx.Lifecycle, in beforeStopIn) {
-	lc.Append(fx.StopHook(func(ctx context.Context) {
-		for _, hook := range in.Hooks {
-			_ = hook(ctx)
-		}
-	}))
+// runBeforeStop runs all hooks at once and waits for them.
+func runBeforeStop(ctx context.Context, hooks []BeforeStop) {
+	var running sync.WaitGroup
+	for _, hook := range hooks {
+		running.Go(func() { _ = hook(ctx) })
+	}
+	_ = waitGroup(ctx, &running)
 }
--- a/plugins/membershipview/setup.go
+++ b/plugins/membershipview/setup.go
@@ -92,7 +92,6 @@
 		kernel.ProvideRing[kernel.Ask[port.Leaving, struct{}]]("members.leaving", 4, kernel.Refuse),
 		kernel.ProvideBeforeStop(leaveFirst),
 		kernel.ProvideDuty(func(p parts) kernel.Duty { return newMembers(p).duty() }),
-		fx.Invoke(leaveAtStop),
 		kernel.ProvideDuty(func(p seedParts) kernel.Duty { return newSeeds(p).duty() }),
 	)
 }
