--- a/plugins/callforward/copy.go
+++ b/plugins/callforward/copy.go
@@ -20,14 +20,16 @@
 		header[name] = values
 	}
 	w.WriteHeader(answer.StatusCode)
-	if err := copyBody(w, answer.Body, p); err != nil {
+	if err := copyBody(w, answer.Body, answer.ContentLength, p); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
 
 // copyBody flushes after each piece when more is not at hand, so that a slow
-// stream reaches its reader without delay.
-func copyBody(w http.ResponseWriter, body io.Reader, p *patience) error {
+// stream reaches its reader without delay. The end of a body of known length is
+// not flushed: headers, body and end then leave in one write. Left is the known
+// length, or -1.
+func copyBody(w http.ResponseWriter, body io.Reader, left int64, p *patience) error {
 	buffer := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(buffer)
 	flusher, _ := w.(http.Flusher)
@@ -45,7 +47,8 @@
 		if err != nil {
 			return err
 		}
-		if n < len(*buffer) && flusher != nil {
+		left -= int64(n)
+		if n < len(*buffer) && left != 0 && flusher != nil {
 			flusher.Flush()
 		}
 	}
