--- a/kernel/app.go
+++ b/kernel/app.go
@@ -40,7 +40,6 @@
 // gracefully. A second signal ends the grace of work in progress. It returns
 // the exit code of the process.
 func Run(options ...fx.Option) int {
-	tuneMemory()
 	var grace *Grace
 	app := fx.New(append(options, fx.Populate(&grace), fx.StopTimeout(StopTimeout))...)
 	if err := app.Start(context.Background()); err != nil {
