--- a/plugins/oncekeys/oncekeys_test.go
+++ b/plugins/oncekeys/oncekeys_test.go
@@ -31,6 +31,7 @@
 	rows       map[string]port.Row
 	revision   uint64
 	loseAnswer atomic.Int32 // commits that take effect and answer PlatformUnknown
+	loseWrite  atomic.Int32 // commits that have no effect and answer PlatformUnknown
 	down       atomic.Bool
 }
 
@@ -51,6 +52,9 @@
 	if f.down.Load() {
 		return result.PlatformDown.Err()
 	}
+	if f.loseWrite.Add(-1) >= 0 {
+		return result.PlatformUnknown.Err()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, c := range txn.Checks {
@@ -133,6 +137,13 @@
 		Expect(newNode(table).claim("k", "a")).To(Equal(result.OK))
 	})
 
+	// A lost answer is no grant: the write may have met the claim of another call.
+	It("are refused when the answer was lost and another attempt has the key", func() {
+		Expect(newNode(table).claim("k", "a")).To(Equal(result.OK))
+		table.loseWrite.Store(1)
+		Expect(newNode(table).claim("k", "b")).To(Equal(result.KeyMayHaveRun))
+	})
+
 	It("are refused as not run while the platform is down", func() {
 		table.down.Store(true)
 		Expect(newNode(table).claim("k", "a")).To(Equal(result.KeyStoreDown))
--- /dev/null
+++ b/test/suite/publication_test.go
@@ -0,0 +1,29 @@
+package suite
+
+import (
+	"net/http"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"teaselring/test/harness"
+)
+
+// Guards against an operator's repeated request that undoes what others have
+// published meanwhile: equal content alone would not show it.
+var _ = Describe("a publication", func() {
+	It("is not written again when it is repeated through another node after a later change", func() {
+		c := harness.NewCluster(harness.New(GinkgoT()), 2, names(2)...)
+		c.Start()
+		c.WaitListening()
+		untilKnown(c)
+		mustApply(c, c.Nodes[0], "p1", service("stock", 1))
+		mustApply(c, c.Nodes[0], "p2", service("stock", 2))
+		status, body := c.Apply(c.Nodes[1], "p1", service("stock", 1))
+		Expect(status).To(Equal(http.StatusOK), body)
+		Expect(body).To(ContainSubstring(`"version":1`))
+		untilInForce(c, 2, c.Nodes...)
+		_, text := c.Operate(c.Nodes[0], http.MethodGet, "/v1/records", "")
+		Expect(text).To(ContainSubstring("queue = 2"))
+	})
+})
