--- a/plugins/callforward/exchange.go
+++ b/plugins/callforward/exchange.go
@@ -191,8 +191,8 @@
 	if c.askFenced(a) {
 		return result.Fenced.Errorf("node %s: %v", a.target.Node, cause)
 	}
-	if context.Cause(ctx) == errDeadline {
-		return errDeadline
+	if ended := endedBy(ctx); ended != nil {
+		return ended
 	}
 	return result.ConnectionLost.Errorf("node %s: %v", a.target.Node, cause)
 }
--- a/plugins/edgecallers/setup.go
+++ b/plugins/edgecallers/setup.go
@@ -55,8 +55,8 @@
 			}
 		},
 		Module: func(v kernel.Validator) fx.Option {
-			return fx.Invoke(func(lc fx.Lifecycle, logger *log.Logger, entry port.CallEntry) {
-				listener(v.(*Settings), entry).StartWith(lc, logger)
+			return fx.Invoke(func(lc fx.Lifecycle, logger *log.Logger, grace *kernel.Grace, entry port.CallEntry) {
+				listener(v.(*Settings), entry).StartWith(lc, logger, grace)
 			})
 		},
 	})
--- a/plugins/edgepeers/setup.go
+++ b/plugins/edgepeers/setup.go
@@ -74,12 +74,13 @@
 		fx.Provide(func() *port.PeerAddressCell { return new(port.PeerAddressCell) }),
 		fx.Provide(func(id mesh.Identity) (port.PeerTLS, error) { return newPeerTLS(s.Key, id.Node, time.Now()) }),
 		fx.Provide(func(tls port.PeerTLS) port.PeerClient { return newClient(s, tls) }),
-		fx.Invoke(func(lc fx.Lifecycle, in listenerIn) { listener(s, in).StartWith(lc, in.Logger) }),
+		fx.Invoke(func(lc fx.Lifecycle, in listenerIn) { listener(s, in).StartWith(lc, in.Logger, in.Grace) }),
 	)
 }
 
 type listenerIn struct {
 	fx.In
+	Grace   *kernel.Grace
 	Logger  *log.Logger
 	TLS     port.PeerTLS
 	Address *port.PeerAddressCell
