--- a/Makefile
+++ b/Makefile
@@ -15,15 +15,15 @@
 	bash tools/lint.sh
 
 measure:
-	go run ./test/measure/calls
-	go run ./test/measure/calls -sizes 6 -big
+	go run ./measure/calls
+	go run ./measure/calls -sizes 6 -big
 
 measure-convergence:
-	go run ./test/measure/convergence
+	go run ./measure/convergence
 
 measure-moves:
-	@go run ./test/measure/moves -scenarios test/measure/moves/scenarios.toml
+	@go run ./measure/moves -scenarios measure/moves/scenarios.toml
 
 # Prints the time added by each policy for choosing an upstream; about 50 s.
 measure-routing:
-	go run ./test/measure/routing
+	go run ./measure/routing
--- a/decision/routing/router.go
+++ b/decision/routing/router.go
@@ -48,7 +48,7 @@
 
 // DefaultParams returns the values used in production. The cost of a zone is
 // the round trip of both deployments (0.5 ms one way); ZoneSpill, SlowFactor,
-// the weights and LoadTrust were chosen with test/measure/routing.
+// the weights and LoadTrust were chosen with measure/routing.
 func DefaultParams() Params {
 	return Params{
 		RegionCost: time.Millisecond, RemoteCost: 60 * time.Millisecond,
--- a/test/measure/calls/big.go
+++ b/measure/calls/big.go
@@ -8,8 +8,8 @@
 	"net/http"
 	"time"
 
+	"teaselring/measure/bench"
 	"teaselring/test/harness"
-	"teaselring/test/measure/bench"
 )
 
 const (
--- a/test/measure/calls/connections.go
+++ b/measure/calls/connections.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"teaselring/test/measure/bench"
+	"teaselring/measure/bench"
 )
 
 // held counts the connections of one server, that is of a node and the
--- a/test/measure/calls/goodput.go
+++ b/measure/calls/goodput.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"time"
 
-	"teaselring/test/measure/bench"
+	"teaselring/measure/bench"
 )
 
 // loads are the shares of the slots' capacity that are offered.
--- a/test/measure/calls/latency.go
+++ b/measure/calls/latency.go
@@ -7,8 +7,8 @@
 	"slices"
 	"time"
 
+	"teaselring/measure/bench"
 	"teaselring/test/harness"
-	"teaselring/test/measure/bench"
 )
 
 // aimAddedP99 is what a call may gain at the 99th percentile at design scale.
--- a/test/measure/calls/main.go
+++ b/measure/calls/main.go
@@ -10,8 +10,8 @@
 	"os"
 	"time"
 
+	"teaselring/measure/bench"
 	"teaselring/test/harness"
-	"teaselring/test/measure/bench"
 )
 
 var (
--- a/test/measure/calls/mesh.go
+++ b/measure/calls/mesh.go
@@ -7,8 +7,8 @@
 	"strings"
 	"time"
 
+	"teaselring/measure/bench"
 	"teaselring/test/harness"
-	"teaselring/test/measure/bench"
 )
 
 const (
--- a/test/measure/convergence/change.go
+++ b/measure/convergence/change.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"time"
 
+	"teaselring/measure/bench"
 	"teaselring/test/harness"
-	"teaselring/test/measure/bench"
 )
 
 // aimWorst is for the last node while the platform answers.
--- a/test/measure/convergence/failures.go
+++ b/measure/convergence/failures.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
+	"teaselring/measure/bench"
 	"teaselring/test/harness"
-	"teaselring/test/measure/bench"
 )
 
 // restartThird kills every third node and starts it again at once, then
--- a/test/measure/convergence/main.go
+++ b/measure/convergence/main.go
@@ -14,8 +14,8 @@
 	"os"
 	"time"
 
+	"teaselring/measure/bench"
 	"teaselring/test/harness"
-	"teaselring/test/measure/bench"
 )
 
 var (
--- a/test/measure/convergence/move.go
+++ b/measure/convergence/move.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"time"
 
-	"teaselring/test/measure/bench"
+	"teaselring/measure/bench"
 )
 
 const (
--- a/test/measure/moves/main.go
+++ b/measure/moves/main.go
@@ -42,7 +42,7 @@
 }
 
 func main() {
-	path := flag.String("scenarios", "test/measure/moves/scenarios.toml", "scenario file")
+	path := flag.String("scenarios", "measure/moves/scenarios.toml", "scenario file")
 	seeds := flag.Int("seeds", 200, "seeds for each family")
 	every := flag.Int("report-every", 0, "seconds between reports, in place of the scenarios' own")
 	first := flag.Int("first", 0, "number of the first seed")
