--- a/cmd/teasel-demo/upstream.go
+++ b/cmd/teasel-demo/upstream.go
@@ -51,7 +51,7 @@
 
 // ServeHTTP answers with the version. A bad version fails a part of its calls.
 func (u *upstream) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
-	time.Sleep(serviceTime)
+	<-time.After(serviceTime)
 	n := u.served.Add(1)
 	if u.bad && n%100 < badFailures {
 		u.failed.Add(1)
--- a/decision/routing/endpoint.go
+++ b/decision/routing/endpoint.go
@@ -194,7 +194,7 @@
 		return true
 	}
 	switch o.Code {
-	case result.ConnectFailed.Number, result.ConnectionLost.Number, result.UpstreamCrashed.Number,
+	case result.ConnectFailed.Number, result.ConnectionLost.Number, result.UpstreamLost.Number,
 		result.Draining.Number, result.WrongIncarnation.Number, result.ShuttingDown.Number:
 		return true
 	}
--- a/measure/moves/upstream.go
+++ b/measure/moves/upstream.go
@@ -154,7 +154,7 @@
 	u.calls++
 	if crash && rng.Float64() < 1/f.svc.Bad.CrashEvery {
 		f.stop(u, t)
-		o.Status, o.Crashed, o.Failed, o.Code = 0, true, true, result.UpstreamCrashed.Number
+		o.Status, o.Crashed, o.Failed, o.Code = 0, true, true, result.UpstreamLost.Number
 		return o
 	}
 	if rng.Float64() < fail {
--- a/plugins/callforward/callforward_test.go
+++ b/plugins/callforward/callforward_test.go
@@ -86,7 +86,7 @@
 	answer, _, _ := send(p.request("POST", "/once/a", body, map[string]string{headerKey: "first"}))
 	Expect(answer.StatusCode).To(Equal(http.StatusOK))
 	answer, _, _ = send(p.request("POST", "/once/b", body, map[string]string{headerKey: "second"}))
-	Expect(code(answer)).To(Equal(result.UpstreamCrashed))
+	Expect(code(answer)).To(Equal(result.UpstreamLost))
 	Expect(keys).To(Receive(Equal("first")))
 	Expect(keys).To(Receive(Equal("second")))
 	Expect(keys).NotTo(Receive())
@@ -133,7 +133,7 @@
 	DescribeTable("is not refused as not run by a later attempt", func(later func() []mesh.Target) {
 		p.targets = append([]mesh.Target{p.remote()}, later()...)
 		answer, _, _ := send(p.request("POST", "/once/a", "x", map[string]string{headerKey: "k"}))
-		Expect(code(answer)).To(Equal(result.UpstreamCrashed))
+		Expect(code(answer)).To(Equal(result.UpstreamLost))
 	},
 		Entry("that finds no endpoint", func() []mesh.Target { return nil }),
 		Entry("that can't connect", func() []mesh.Target { return []mesh.Target{silentPeer()} }),
--- a/plugins/callforward/exchange.go
+++ b/plugins/callforward/exchange.go
@@ -28,9 +28,7 @@
 	mayHaveRun error
 }
 
-// serve runs attempts until one is answered or the router allows no other. A
-// failed attempt is reported before the next begins, so that the router counts
-// it no longer.
+// serve runs attempts until one is answered or the router allows no other.
 func (c *exchange) serve(ctx context.Context, w http.ResponseWriter) {
 	for {
 		answer, outcome, err := c.attempt(ctx)
@@ -39,26 +37,49 @@
 			return
 		}
 		err = c.truthful(err)
-		none := outcome.Target.Node == ""
-		verdict := c.mayRetry(ctx, outcome, none)
-		if verdict.Retry {
-			c.report(port.Finished{Outcome: outcome})
-			if sleep(ctx, verdict.Wait) == nil {
-				continue
-			}
-			c.report(port.Finished{Outcome: outcome, CallEnded: true, NoAttempt: true})
-		} else if !none || len(c.tried) > 0 {
-			c.report(port.Finished{Outcome: outcome, CallEnded: true, NoAttempt: none})
+		verdict := c.judge(ctx, outcome)
+		if verdict.Retry && sleep(ctx, verdict.Wait) == nil {
+			continue
 		}
-		if verdict.Mark {
-			w.Header().Set(headerRetried, "1")
-		}
-		drain(w, c.request)
-		port.Refuse(w, err)
+		c.refuse(w, outcome, verdict, err)
 		return
 	}
 }
 
+// judge ends a failed attempt and asks the router whether another may follow.
+// The attempt is reported first, so that the router counts it no longer. A body
+// that was partly streamed can't be sent again, whatever the router would allow.
+func (c *exchange) judge(ctx context.Context, outcome mesh.Outcome) port.RetryVerdict {
+	if outcome.Target.Node == "" { // no attempt was made
+		return port.RetryVerdict{}
+	}
+	c.report(port.Finished{Outcome: outcome})
+	if !c.body.replayable() {
+		return port.RetryVerdict{}
+	}
+	verdict, err := kernel.Do(ctx, c.Retries, port.MayRetry{
+		Call: c.call, Outcome: outcome, Attempts: len(c.tried),
+		RetriedAbove: c.request.Header.Get(headerRetried) != "",
+	})
+	if err != nil {
+		return port.RetryVerdict{}
+	}
+	return verdict
+}
+
+// refuse ends the call with an error. A call whose first pick failed holds no
+// place that could be released.
+func (c *exchange) refuse(w http.ResponseWriter, outcome mesh.Outcome, verdict port.RetryVerdict, err error) {
+	if len(c.tried) > 0 {
+		c.report(port.Finished{Outcome: outcome, CallEnded: true, NoAttempt: true})
+	}
+	if verdict.Mark {
+		w.Header().Set(headerRetried, "1")
+	}
+	drain(w, c.request)
+	port.Refuse(w, err)
+}
+
 // truthful returns what may be said of the call as a whole, given the error of
 // its last attempt.
 func (c *exchange) truthful(err error) error {
@@ -78,22 +99,6 @@
 	copyAnswer(w, answer, c.patience)
 }
 
-// mayRetry asks the router. A body that was partly streamed can't be sent
-// again, whatever the router would allow.
-func (c *exchange) mayRetry(ctx context.Context, outcome mesh.Outcome, none bool) port.RetryVerdict {
-	if none || !c.body.replayable() {
-		return port.RetryVerdict{}
-	}
-	verdict, err := kernel.Do(ctx, c.Retries, port.MayRetry{
-		Call: c.call, Outcome: outcome, Attempts: len(c.tried),
-		RetriedAbove: c.request.Header.Get(headerRetried) != "",
-	})
-	if err != nil {
-		return port.RetryVerdict{}
-	}
-	return verdict
-}
-
 func sleep(ctx context.Context, d time.Duration) error {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -135,7 +140,7 @@
 	switch code {
 	case result.Shed, result.QueueFull, result.QueueTimeout, result.ClassLimit:
 		o.Shed = true
-	case result.UpstreamCrashed:
+	case result.UpstreamLost:
 		o.Failed, o.Crashed = true, true
 	case result.ConnectFailed, result.ConnectionLost, result.DeadlineDuring, result.Internal:
 		o.Failed = true
--- a/plugins/callforward/owner.go
+++ b/plugins/callforward/owner.go
@@ -83,7 +83,7 @@
 	answer, err := o.runAdmitted(ctx, a, r, admitted)
 	if err != nil {
 		e := result.From(err)
-		o.release(port.Released{Attempt: a.id, Shed: e.Code == result.Shed, Lost: e.Code == result.UpstreamCrashed})
+		o.release(port.Released{Attempt: a.id, Shed: e.Code == result.Shed, Lost: e.Code == result.UpstreamLost})
 		return nil, admitted.Load, err
 	}
 	answer.Body = &releasingBody{ReadCloser: answer.Body, release: func() {
@@ -177,7 +177,7 @@
 	if ctx.Err() != nil {
 		return result.ConnectionLost.Errorf("the caller left during the call")
 	}
-	return result.UpstreamCrashed.Errorf("upstream: %v", err)
+	return result.UpstreamLost.Errorf("upstream: %v", err)
 }
 
 func (o *owner) release(released port.Released) {
--- a/test/suite/crash_test.go
+++ b/test/suite/crash_test.go
@@ -38,7 +38,7 @@
 		return n
 	}
 	for i := range 2 {
-		Expect(poison(s.Nodes[i]).result()).To(Equal(result.UpstreamCrashed))
+		Expect(poison(s.Nodes[i]).result()).To(Equal(result.UpstreamLost))
 		Expect(crashes()).To(Equal(i + 1))
 	}
 	// Nodes report a crash 0.5 s after they notice the end of the process. A
