Name things in the decisions about moves by the terms of the field

Cause: hear, doubt and liar were figurative names. Change: Receive, Add, recheck, lastSeen and misreports; no behaviour changes. Measured: go vet and the tests of decision, movesguard, movesholder, configstore and callslots pass. Conclusion: naming only.

--- a/decision/config/store_test.go
+++ b/decision/config/store_test.go
@@ -111,7 +111,7 @@
 		})
 
 		// Guards against a reader that has a version in force, dies, and comes
-		// back during an outage to peers that never heard of it.
+		// back during an outage to peers that never received it.
 		It("waits until a peer holds it", func() {
 			Expect(s.Advance(after(AckWait-1), 5)).To(BeFalse())
 			Expect(s.Newest().Version).To(BeEquivalentTo(2))
--- a/decision/membership/endpoint.go
+++ b/decision/membership/endpoint.go
@@ -13,7 +13,7 @@
 type Upstream struct {
 	goneAfter time.Duration
 	endpoint  mesh.Endpoint
-	heard     time.Time
+	lastSeen  time.Time
 	lastTick  time.Time
 	drained   string // process that an operator drains
 }
@@ -29,7 +29,7 @@
 // Draining is final for one process: a late announcement from before it must
 // not bring the upstream back.
 func (u *Upstream) Announce(e mesh.Endpoint, now time.Time) bool {
-	u.heard = now
+	u.lastSeen = now
 	same := e.Process == u.endpoint.Process
 	if e.Process == u.drained || (same && u.endpoint.State == mesh.EndpointDraining) {
 		e.State = mesh.EndpointDraining
@@ -57,11 +57,11 @@
 // the upstream is given that time.
 func (u *Upstream) Tick(now time.Time) bool {
 	if gap := now.Sub(u.lastTick); !u.lastTick.IsZero() && gap >= pauseLimit {
-		u.heard = u.heard.Add(gap)
+		u.lastSeen = u.lastSeen.Add(gap)
 	}
 	u.lastTick = now
 	running := u.endpoint.State != mesh.EndpointNone && u.endpoint.State != mesh.EndpointGone
-	if !running || now.Sub(u.heard) < u.goneAfter {
+	if !running || now.Sub(u.lastSeen) < u.goneAfter {
 		return false
 	}
 	u.endpoint.State = mesh.EndpointGone
--- a/decision/membership/state.go
+++ b/decision/membership/state.go
@@ -65,7 +65,7 @@
 }
 
 // New returns the state of a node that knows only itself. The node is not
-// joined: its incarnation still rises above any heard one.
+// joined: its incarnation still rises above any received one.
 func New(self mesh.Member, cfg Config) *State {
 	s := &State{
 		cfg:      cfg,
@@ -133,11 +133,11 @@
 	s.note(s.self)
 }
 
-// Merge takes entries heard from a peer. It returns result.Conflict when
+// Merge takes entries received from a peer. It returns result.Conflict when
 // another process runs under the node's own id with a higher incarnation.
-func (s *State) Merge(heard []mesh.Member, now time.Time) error {
-	for i := range heard {
-		m := &heard[i]
+func (s *State) Merge(entries []mesh.Member, now time.Time) error {
+	for i := range entries {
+		m := &entries[i]
 		if m.Node == s.self {
 			if err := s.mergeSelf(m); err != nil {
 				return err
--- a/decision/membership/suspicion.go
+++ b/decision/membership/suspicion.go
@@ -17,8 +17,8 @@
 
 // watch follows a linked peer.
 type watch struct {
-	heard time.Time // of the last message
-	lost  bool      // the connection broke
+	lastSeen time.Time // of the last message
+	lost     bool      // the connection broke
 }
 
 // suspicion is the time left to a suspected member to refute.
@@ -26,13 +26,13 @@
 
 // LinkUp starts to watch a peer.
 func (s *State) LinkUp(peer mesh.NodeID, now time.Time) {
-	s.watches[peer] = &watch{heard: now}
+	s.watches[peer] = &watch{lastSeen: now}
 }
 
 // Heard notes a message of a linked peer.
 func (s *State) Heard(peer mesh.NodeID, now time.Time) {
 	if w := s.watches[peer]; w != nil && !w.lost {
-		w.heard = now
+		w.lastSeen = now
 	}
 }
 
@@ -65,7 +65,7 @@
 func (s *State) Tick(now time.Time) {
 	s.allowForPause(now)
 	for peer, w := range s.watches {
-		if now.Sub(w.heard) >= s.cfg.SuspectAfter {
+		if now.Sub(w.lastSeen) >= s.cfg.SuspectAfter {
 			s.suspect(peer, now)
 			delete(s.watches, peer)
 		}
@@ -92,7 +92,7 @@
 	}
 	s.counts.Pauses++
 	for _, w := range s.watches {
-		w.heard = w.heard.Add(gap)
+		w.lastSeen = w.lastSeen.Add(gap)
 	}
 	for node, x := range s.suspects {
 		s.suspects[node] = suspicion{x.deadline.Add(gap)}
@@ -154,7 +154,7 @@
 	if slices.Contains(e.SuspectedBy, s.self) {
 		silentFor := s.cfg.SuspectAfter
 		if w := s.watches[e.Node]; w != nil {
-			silentFor = now.Sub(w.heard)
+			silentFor = now.Sub(w.lastSeen)
 		}
 		left := max(s.cfg.DeadAfter-silentFor, (s.cfg.DeadAfter-s.cfg.SuspectAfter)*3/4)
 		deadline = now.Add(left)
--- a/decision/moves/cadence.go
+++ b/decision/moves/cadence.go
@@ -8,7 +8,7 @@
 
 // Cadence decides which of a node's reports are sent, so that the reports of
 // all nodes stay within the control plane's budget. A report that tells of a
-// cut or a doubt is sent at once; one that tells of no
+// cut or a recheck is sent at once; one that tells of no
 // further call is sent only to keep receivers from taking a new baseline.
 type Cadence struct {
 	sent map[mesh.MoveID]mesh.Evidence
@@ -24,11 +24,11 @@
 	last, known := c.sent[e.Move]
 	gap := e.Sequence - last.Sequence
 	due := gap >= maxReportGap || gap >= uint64(n) && !slices.Equal(e.Routes, last.Routes)
-	if known && !due && e.Cut == last.Cut && e.Doubt == last.Doubt {
+	if known && !due && e.Cut == last.Cut && e.Recheck == last.Recheck {
 		return false
 	}
 	c.sent[e.Move] = mesh.Evidence{
-		Sequence: e.Sequence, Cut: e.Cut, Doubt: e.Doubt, Routes: slices.Clone(e.Routes),
+		Sequence: e.Sequence, Cut: e.Cut, Recheck: e.Recheck, Routes: slices.Clone(e.Routes),
 	}
 	return true
 }
--- a/decision/moves/goodness.go
+++ b/decision/moves/goodness.go
@@ -10,7 +10,7 @@
 // old version" against "fails more often by an excess", for each of Excesses.
 type goodness struct {
 	nats [len(Excesses)]float64
-	// fresh counts since the last reset, for the end of a doubt.
+	// fresh counts since the last reset, for the end of a recheck.
 	fresh [len(Excesses)]float64
 	// pending is what has too few old calls to estimate a rate from.
 	pending window
@@ -79,8 +79,8 @@
 func (g *goodness) resetFresh() { g.fresh = [len(Excesses)]float64{} }
 
 // clear reports whether the calls since the last reset show that the versions
-// don't differ by what led to a doubt: either no small excess, or, while both
+// don't differ by what led to a recheck: either no small excess, or, while both
 // fail often, no large one.
 func (g *goodness) clear() bool {
-	return g.fresh[len(Excesses)-1] >= doubtClear || g.fresh[0] >= 2*doubtClear
+	return g.fresh[len(Excesses)-1] >= recheckClear || g.fresh[0] >= 2*recheckClear
 }
--- a/decision/moves/guard.go
+++ b/decision/moves/guard.go
@@ -12,7 +12,7 @@
 // with a move, and it takes the new version's share to zero by itself when
 // its own evidence or the pooled evidence shows the version to be bad. What
 // another node reports to have cut is no ground by itself: only the pooled
-// test is, so a single lying node can't take a move back.
+// test is, so a single misreporting node can't take a move back.
 //
 // A Guard is not safe for concurrent use.
 type Guard struct {
@@ -26,13 +26,13 @@
 
 // guarded is one move as this node sees it.
 type guarded struct {
-	row     mesh.Move
-	heard   time.Time // when the row arrived; the lease runs from here
-	share   float64   // in force on this node
-	cut     bool
-	sampler *sampler
-	own     *Pool // this node's evidence alone
-	pool    *Pool // that of all nodes
+	row      mesh.Move
+	received time.Time // when the row arrived; the lease runs from here
+	share    float64   // in force on this node
+	cut      bool
+	sampler  *sampler
+	own      *Pool // this node's evidence alone
+	pool     *Pool // that of all nodes
 }
 
 // NewGuard returns the guard of a node in one life of its process.
@@ -56,7 +56,7 @@
 		if m == nil {
 			m = g.guard(row)
 		}
-		m.row, m.heard = *row, now
+		m.row, m.received = *row, now
 		if g.activate(m) {
 			m.settle(now)
 			changed = true
@@ -127,10 +127,10 @@
 	return len(m.row.Routes) == 0 || slices.Contains(m.row.Routes, route)
 }
 
-// Hear takes the evidence of another node. It reports whether it was new.
-func (g *Guard) Hear(e *mesh.Evidence) bool {
+// Receive takes the evidence of another node. It reports whether it was new.
+func (g *Guard) Receive(e *mesh.Evidence) bool {
 	m := g.moves[e.Move]
-	return m != nil && e.Node != g.self && m.pool.Hear(e)
+	return m != nil && e.Node != g.self && m.pool.Add(e)
 }
 
 // Tick ends a window of evidence, decides on cuts and returns this node's
@@ -155,10 +155,10 @@
 func (m *guarded) tick(now time.Time) mesh.Evidence {
 	e := m.sampler.report()
 	if e.Sequence%ownInterval == 0 {
-		m.own.Hear(&e)
+		m.own.Add(&e)
 		m.own.Close(now)
 	}
-	m.pool.Hear(&e)
+	m.pool.Add(&e)
 	m.pool.Close(now)
 	for _, p := range []*Pool{m.own, m.pool} {
 		if v := p.Verdict(); v.Bad && !m.cut {
@@ -167,8 +167,8 @@
 			e.Cut, e.Reason = true, v.Reason
 		}
 	}
-	e.Doubt = m.pool.doubt.active
-	m.sampler.evidence.Doubt = e.Doubt
+	e.Recheck = m.pool.recheck.active
+	m.sampler.evidence.Recheck = e.Recheck
 	m.settle(now)
 	return e
 }
@@ -193,8 +193,8 @@
 	case m.cut, !now.Before(m.row.Target):
 		return 0
 	case m.row.Phase == mesh.MoveShifting, m.row.Phase == mesh.MoveWatching:
-		if m.pool.doubt.active {
-			return min(m.row.Share, doubtShare)
+		if m.pool.recheck.active {
+			return min(m.row.Share, recheckShare)
 		}
 		return m.row.Share
 	}
@@ -205,7 +205,7 @@
 // the row arrived bounds it on a slow clock, the written time bounds it for a
 // row that arrives long after it was written.
 func (m *guarded) leased(now time.Time) bool {
-	return now.Sub(m.heard) < LeaseDuration && now.Before(m.row.LeaseUntil.Add(maxClockSkew))
+	return now.Sub(m.received) < LeaseDuration && now.Before(m.row.LeaseUntil.Add(maxClockSkew))
 }
 
 // Splits returns the division of calls at a time. A service whose last move
--- a/decision/moves/guard_test.go
+++ b/decision/moves/guard_test.go
@@ -130,7 +130,7 @@
 	It("does not follow a cut that no evidence supports", func() {
 		g := NewGuard(SockOffice, "a", 1)
 		drive(g, start, 20, func(int, int) bool { return false })
-		g.Hear(&mesh.Evidence{Move: "m", Node: "b", Incarnation: 1, Sequence: 1, Cut: true})
+		g.Receive(&mesh.Evidence{Move: "m", Node: "b", Incarnation: 1, Sequence: 1, Cut: true})
 		e := drive(g, start.Add(20*time.Second), 20, func(int, int) bool { return false })
 		Expect(e.Cut).To(BeFalse())
 	})
--- a/decision/moves/holder.go
+++ b/decision/moves/holder.go
@@ -100,9 +100,9 @@
 func advance(s Settings, row mesh.Move, v *mesh.Verdict, since, now time.Time) (mesh.Move, bool) {
 	plan, index := s.schedule(&row), rungOf(row.Share)
 	if row.Phase == mesh.MoveWatching {
-		watched := now.Sub(since) >= plan.minWatch() && now.Sub(v.Doubted) >= plan.minCalm() &&
+		watched := now.Sub(since) >= plan.minWatch() && now.Sub(v.Rechecked) >= plan.minCalm() &&
 			!now.Before(plan.finish())
-		if !watched || v.Doubt || v.Cuts >= agreeingNodes || v.Good[len(Excesses)-1] < 0 {
+		if !watched || v.Recheck || v.Cuts >= agreeingNodes || v.Good[len(Excesses)-1] < 0 {
 			return row, false
 		}
 		row.Phase, row.Share = mesh.MoveDone, 1
@@ -113,7 +113,7 @@
 	if now.Before(plan.start(index+1)) || index >= 0 && now.Sub(since) < plan.minRung() {
 		return row, false
 	}
-	if v.Doubt || v.Cuts >= agreeingNodes || next.excess >= 0 && v.Good[next.excess] < next.evidence*s.fullEvidence() {
+	if v.Recheck || v.Cuts >= agreeingNodes || next.excess >= 0 && v.Good[next.excess] < next.evidence*s.fullEvidence() {
 		return row, false
 	}
 	row.Share, row.Phase = next.share, mesh.MoveShifting
--- a/decision/moves/holder_test.go
+++ b/decision/moves/holder_test.go
@@ -63,7 +63,7 @@
 	})
 
 	// A move without calls must not be done because nothing bad was seen, and
-	// its operator must hear of it before the target.
+	// its operator must learn of it before the target.
 	It("takes a move back without enough evidence by the target and says it is late before", func() {
 		var late time.Duration
 		last := hold(SockOffice, func(time.Duration) mesh.Verdict { return mesh.Verdict{} },
@@ -92,7 +92,7 @@
 		Entry("bad", func(v *mesh.Verdict) { v.Bad, v.Reason = true, "failures" }, mesh.MoveTakenBack),
 		Entry("cut by a quarter of the nodes", func(v *mesh.Verdict) { v.Cuts = 3 }, mesh.MoveTakenBack),
 		Entry("cut by one node", func(v *mesh.Verdict) { v.Cuts = 1 }, mesh.MoveDone),
-		Entry("doubt that does not end", func(v *mesh.Verdict) { v.Doubt = true }, mesh.MoveTakenBack),
+		Entry("recheck that does not end", func(v *mesh.Verdict) { v.Recheck = true }, mesh.MoveTakenBack),
 	)
 
 	It("catches up after a pause that leaves enough time", func() {
--- a/decision/moves/pool.go
+++ b/decision/moves/pool.go
@@ -20,13 +20,13 @@
 const minGroups = 3
 
 const (
-	// agreeingNodes is how many other nodes must doubt the new version before
-	// a node joins the doubt.
+	// agreeingNodes is how many other nodes must recheck the new version before
+	// a node joins the recheck.
 	agreeingNodes = 2
 	// agreement is the part of the evidence, in nats, that the pooled test
 	// needs less for each of at most agreeingNodes nodes that have cut the
 	// new version. Nodes reach the full evidence at somewhat different times;
-	// the first ones pull the others along. One lying node can thereby raise
+	// the first ones pull the others along. One misreporting node can thereby raise
 	// the probability of a false alarm from FalseAlarm to its 3/4th power.
 	agreement = 0.25
 	ownFactor = 16
@@ -45,7 +45,7 @@
 	sums      []window // of all groups; kept between windows to save allocations
 	rest      []window // of all groups but one; likewise
 	good      goodness
-	doubt     doubt
+	recheck   recheck
 	grouped   bool
 	shown     bool // bad, for good
 	reason    string
@@ -74,10 +74,10 @@
 	}
 }
 
-// Hear adds a report. Reports that are not newer than one of the same node
+// Add adds a report. Reports that are not newer than one of the same node
 // are ignored, so repeated and crossing messages do no harm. It reports whether
 // the report was newer.
-func (p *Pool) Hear(e *mesh.Evidence) bool {
+func (p *Pool) Add(e *mesh.Evidence) bool {
 	r := p.nodes[e.Node]
 	if r == nil {
 		r = &reporter{group: p.hashGroup(e.Node)}
@@ -183,7 +183,7 @@
 	return i
 }
 
-// Close ends a window: what was heard since the last call is tested.
+// Close ends a window: what was received since the last call is tested.
 func (p *Pool) Close(now time.Time) {
 	p.sums = cleared(p.sums, len(p.names))
 	var all window
@@ -207,7 +207,7 @@
 	p.account(&all)
 	p.judge()
 	if len(p.detectors) > 1 { // a node's own share alone changes no load
-		p.doubt.step(p, now)
+		p.recheck.step(p, now)
 	}
 }
 
@@ -315,7 +315,7 @@
 // Verdict returns the result of all closed windows.
 func (p *Pool) Verdict() mesh.Verdict {
 	v := mesh.Verdict{Bad: p.shown, Reason: p.reason, Nodes: len(p.nodes)}
-	v.Doubt, v.Doubted = p.doubt.active || p.doubting() >= agreeingNodes, p.doubt.last
+	v.Recheck, v.Rechecked = p.recheck.active || p.rechecking() >= agreeingNodes, p.recheck.last
 	v.Good = p.good.nats
 	v.Calls = p.total.new.Calls
 	v.Cuts = p.cuts()
--- a/decision/moves/pool_test.go
+++ b/decision/moves/pool_test.go
@@ -51,11 +51,11 @@
 		Expect(t.run(60).Bad).To(BeFalse())
 	})
 
-	// One broken or lying node must not take a good move back.
+	// One broken or misreporting node must not take a good move back.
 	DescribeTable("one node that reports only failures of the new version",
 		func(nodes int, s Settings) {
 			t := newTraffic(NewPool(s), 5, nodes, rates{0.005, 0.005})
-			t.liar = 0
+			t.misreports = 0
 			v := t.run(120)
 			Expect(v.Bad).To(BeFalse())
 			Expect(v.Cuts).To(BeZero())
@@ -88,13 +88,13 @@
 		first := t.nodes[0]
 		calls := t.run(5).Calls
 		last := t.nodes[0]
-		p.Hear(&first)
-		p.Hear(&last)
+		p.Add(&first)
+		p.Add(&last)
 		p.Close(t.now)
 		Expect(p.Verdict().Calls).To(Equal(calls))
 	})
 
-	// A node heard again after a long silence reports calls of different
+	// A node that reports again after a long silence reports calls of different
 	// shares and rates at once, which must not be compared.
 	It("takes a report after a long gap as a new baseline", func() {
 		p := NewPool(SockOffice)
@@ -105,18 +105,18 @@
 		e.Sequence += maxReportGap + 1
 		e.Routes[0].New.Calls += 1000
 		e.Routes[0].New.Failures += 1000
-		p.Hear(&e)
+		p.Add(&e)
 		p.Close(t.now)
 		Expect(p.Verdict().Calls).To(Equal(calls))
 	})
 })
 
-var _ = Describe("doubt at full share", func() {
+var _ = Describe("recheck at full share", func() {
 	atFullShare := func(seed uint64, s Settings) *traffic {
 		t := newTraffic(NewPool(s), seed, 8, rates{0.005, 0.005})
 		t.run(120)
 		t.share = 1
-		Expect(t.run(20).Doubt).To(BeFalse())
+		Expect(t.run(20).Recheck).To(BeFalse())
 		return t
 	}
 
@@ -125,14 +125,14 @@
 	It("is cleared when both versions fail at half share", func() {
 		t := atFullShare(11, SockOffice)
 		t.routes[0] = rates{0.3, 0.3}
-		Expect(t.run(5).Doubt).To(BeTrue())
-		t.share = doubtShare
+		Expect(t.run(5).Recheck).To(BeTrue())
+		t.share = recheckShare
 		v := t.run(60)
 		Expect(v.Bad).To(BeFalse())
-		Expect(v.Doubt).To(BeFalse())
+		Expect(v.Recheck).To(BeFalse())
 	})
 
-	// Nodes enter and leave a doubt one after the other, so some windows have a
+	// Nodes enter and leave a recheck one after the other, so some windows have a
 	// few old calls only. Taken as the old version's rate they lost all the
 	// evidence for a good version.
 	It("keeps the evidence of a good version through an outage", func() {
@@ -146,8 +146,8 @@
 	It("ends with a verdict when only the new version fails at half share", func() {
 		t := atFullShare(12, SockOffice)
 		t.routes[0].new = 0.15
-		Expect(t.run(5).Doubt).To(BeTrue())
-		t.share = doubtShare
+		Expect(t.run(5).Recheck).To(BeTrue())
+		t.share = recheckShare
 		Expect(t.run(10).Bad).To(BeTrue())
 	})
 
@@ -158,8 +158,8 @@
 		for range LicenceMesh.fullShareRelapses() {
 			Expect(t.pool.Verdict().Bad).To(BeFalse())
 			t.share, t.routes[0].new = 1, 0.15
-			Expect(t.run(5).Doubt).To(BeTrue())
-			t.share, t.routes[0].new = doubtShare, 0.005
+			Expect(t.run(5).Recheck).To(BeTrue())
+			t.share, t.routes[0].new = recheckShare, 0.005
 			t.run(25)
 		}
 		Expect(t.pool.Verdict().Bad).To(BeTrue())
--- a/decision/moves/doubt.go
+++ b/decision/moves/recheck.go
@@ -2,44 +2,44 @@
 
 import "time"
 
-// doubt is the state in which the share goes back to half because answers got
+// recheck is the state in which the share goes back to half because answers got
 // worse at full share. Both versions then carry the same load, and their
 // answers in the same window decide. Without it, a platform outage or a surge
 // of load in the watch period would look like a bad version.
-type doubt struct {
+type recheck struct {
 	active   bool
 	settled  bool
 	since    time.Time
 	last     time.Time // when it was last active
 	relapses int
-	before   window // totals at the start of the doubt
-	others   int    // nodes that doubted at the last window
+	before   window // totals at the start of the recheck
+	others   int    // nodes that rechecked at the last window
 }
 
 const (
-	// doubtClear is the log likelihood ratio, gathered at half share, that
-	// ends a doubt.
-	doubtClear = 2
-	// doubtSettle is how long calls that were sent at full share may still
+	// recheckClear is the log likelihood ratio, gathered at half share, that
+	// ends a recheck.
+	recheckClear = 2
+	// recheckSettle is how long calls that were sent at full share may still
 	// arrive in reports.
-	doubtSettle = 3 * time.Second
-	// maxDoubtSpan ends a doubt in which too few calls arrived.
-	maxDoubtSpan = 90 * time.Second
+	recheckSettle = 3 * time.Second
+	// maxRecheckSpan ends a recheck in which too few calls arrived.
+	maxRecheckSpan = 90 * time.Second
 )
 
-func (d *doubt) step(p *Pool, now time.Time) {
+func (d *recheck) step(p *Pool, now time.Time) {
 	if d.active {
 		d.last = now
-		if !d.settled && now.Sub(d.since) >= doubtSettle {
+		if !d.settled && now.Sub(d.since) >= recheckSettle {
 			d.settled = true
 			p.good.resetFresh()
 		}
 		d.tryEnd(p, now)
 		return
 	}
-	doubting := p.doubting()
-	joins := d.others < agreeingNodes && doubting >= agreeingNodes
-	d.others = doubting
+	rechecking := p.rechecking()
+	joins := d.others < agreeingNodes && rechecking >= agreeingNodes
+	d.others = rechecking
 	if !joins && !p.surging() {
 		return
 	}
@@ -60,35 +60,35 @@
 	return true
 }
 
-func (p *Pool) doubting() int {
+func (p *Pool) rechecking() int {
 	n := 0
 	for _, r := range p.nodes {
-		if r.latest.Doubt {
+		if r.latest.Recheck {
 			n++
 		}
 	}
 	return n
 }
 
-func (d *doubt) tryEnd(p *Pool, now time.Time) {
+func (d *recheck) tryEnd(p *Pool, now time.Time) {
 	span := now.Sub(d.since)
-	if span < doubtSpan {
+	if span < recheckSpan {
 		return
 	}
-	if !p.good.clear() && span < maxDoubtSpan {
+	if !p.good.clear() && span < maxRecheckSpan {
 		return
 	}
-	d.active, d.others = false, p.doubting()
+	d.active, d.others = false, p.rechecking()
 	for i := range p.detectors {
 		p.detectors[i].resetSurge()
 	}
 	d.noteRelapse(p)
 }
 
-// noteRelapse counts a doubt in which the old version answered as well as it
+// noteRelapse counts a recheck in which the old version answered as well as it
 // always did: whatever made the answers worse at full share is then no common
 // cause, and happening again it counts as badness under load.
-func (d *doubt) noteRelapse(p *Pool) {
+func (d *recheck) noteRelapse(p *Pool) {
 	during := p.total
 	during.sub(&d.before)
 	if surgedOld(&during, &d.before) {
@@ -105,5 +105,5 @@
 func surgedOld(during, before *window) bool {
 	rate := max(float64(before.old.Failures)/max(float64(before.old.Calls), 1), minRefRate)
 	h := hits{newHits: float64(during.old.Failures), newCalls: float64(during.old.Calls)}
-	return cusum(0, h, rate, 3, MeasurableExcess) > doubtClear
+	return cusum(0, h, rate, 3, MeasurableExcess) > recheckClear
 }
--- a/decision/moves/schedule.go
+++ b/decision/moves/schedule.go
@@ -21,7 +21,7 @@
 // The rungs, backwards from the target: margin, watch, and shares that about
 // double. The first share has the longest span because calls arrive slowest
 // there; the watch has the next, because full load is where faults appear
-// that no share before could show. The first 2% leave the nodes time to hear
+// that no share before could show. The first 2% leave the nodes time to learn
 // of the move and of each other.
 var rungs = [...]rung{
 	{share: FirstShare, span: 0.28, excess: -1},
@@ -34,12 +34,12 @@
 
 const (
 	// marginPart of the duration is left between done and the target, so that
-	// a doubt just before the end can still be cleared, and that all nodes
-	// hear of done before they would return on their own.
+	// a recheck just before the end can still be cleared, and that all nodes
+	// learn of done before they would return on their own.
 	marginPart = 0.1
 	minMargin  = 5 * time.Second
 	// A late move may hurry: each rung lasts at least minRungPart, the watch
-	// minWatchPart. Half of that is enough after a doubt, because what appears
+	// minWatchPart. Half of that is enough after a recheck, because what appears
 	// at full load appears again within seconds.
 	minRungPart  = 0.03
 	minWatchPart = 0.08
--- a/decision/moves/settings.go
+++ b/decision/moves/settings.go
@@ -82,11 +82,11 @@
 	// consequences of that crash: membership drops it within 3 s.
 	crashEcho = 3 * time.Second
 
-	// doubtShare gives both versions the same load, which makes their answers
+	// recheckShare gives both versions the same load, which makes their answers
 	// comparable again when nothing or little went to the old version.
-	doubtShare = 0.5
-	doubtFrom  = 0.8 // share above which too few calls are left for comparison
-	doubtSpan  = 10 * time.Second
+	recheckShare = 0.5
+	recheckFrom  = 0.8 // share above which too few calls are left for comparison
+	recheckSpan  = 10 * time.Second
 )
 
 // Excesses are the excess failure rates that evidence is gathered against.
--- a/decision/moves/surge.go
+++ b/decision/moves/surge.go
@@ -9,7 +9,7 @@
 // surge notices that answers of the new version got worse while too few calls
 // go to the old version for a comparison. It is a cumulative sum against the
 // rates that the old version had before. Load and outages make answers worse
-// too, so a surge only leads to doubt and never by itself to a verdict.
+// too, so a surge only leads to a recheck and never by itself to a verdict.
 type surge struct {
 	failures float64
 	slow     [len(slowTails)]float64
@@ -18,8 +18,8 @@
 }
 
 const (
-	// surgeHigh keeps false doubts of a good version below about 1 in 100
-	// moves; a false doubt costs about doubtSpan.
+	// surgeHigh keeps false rechecks of a good version below about 1 in 100
+	// moves; a needless recheck costs about recheckSpan.
 	surgeHigh = 9
 	// recentCalls is the memory of the old version's recent failure rate.
 	recentCalls = 1000
@@ -41,7 +41,7 @@
 
 // mostlyNew reports whether too few calls went to the old version.
 func (w *window) mostlyNew() bool {
-	return w.new.Calls > 0 && float64(w.new.Calls) >= doubtFrom*float64(w.new.Calls+w.old.Calls)
+	return w.new.Calls > 0 && float64(w.new.Calls) >= recheckFrom*float64(w.new.Calls+w.old.Calls)
 }
 
 // update adds a window in which most calls went to the new version.
--- a/decision/moves/traffic_test.go
+++ b/decision/moves/traffic_test.go
@@ -15,20 +15,20 @@
 
 // traffic reports seeded calls of several nodes to a pool, second by second.
 type traffic struct {
-	rng    *rand.Rand
-	pool   *Pool
-	now    time.Time
-	calls  int     // each second, on each node and route
-	share  float64 // of the new version
-	routes []rates
-	nodes  []mesh.Evidence
-	liar   int // index of a node that reports only failures of the new version; -1: none
+	rng        *rand.Rand
+	pool       *Pool
+	now        time.Time
+	calls      int     // each second, on each node and route
+	share      float64 // of the new version
+	routes     []rates
+	nodes      []mesh.Evidence
+	misreports int // index of a node that reports only failures of the new version; -1: none
 }
 
 func newTraffic(p *Pool, seed uint64, nodes int, routes ...rates) *traffic {
 	t := &traffic{
 		rng: rand.New(rand.NewPCG(seed, 1)), pool: p, now: start,
-		calls: 10, share: 0.2, routes: routes, liar: -1,
+		calls: 10, share: 0.2, routes: routes, misreports: -1,
 	}
 	for n := range nodes {
 		e := mesh.Evidence{Move: "m", Node: mesh.NodeID(fmt.Sprint("n", n)), Incarnation: 1}
@@ -48,11 +48,11 @@
 			e := &t.nodes[n]
 			e.Routes = append([]mesh.Comparison(nil), e.Routes...)
 			for r := range t.routes {
-				t.answer(&e.Routes[r], t.routes[r], n == t.liar)
+				t.answer(&e.Routes[r], t.routes[r], n == t.misreports)
 			}
 			e.Sequence++
 			report := *e
-			t.pool.Hear(&report)
+			t.pool.Add(&report)
 		}
 		t.pool.Close(t.now)
 	}
--- a/decision/routing/router_test.go
+++ b/decision/routing/router_test.go
@@ -107,11 +107,11 @@
 
 	It("counts its own attempts even when the endpoint claims to be idle", func() {
 		f := routerWith(member("a a1 v1"), member("b a1 v1"))
-		liar := f.endpointTarget("a")
+		endpoint := f.endpointTarget("a")
 		for range 30 {
-			f.Begin(liar, start)
+			f.Begin(endpoint, start)
 		}
-		f.End(outcome(liar, result.OK, &mesh.Load{InFlight: -5, Queued: -1, Limit: 1 << 30}), start)
+		f.End(outcome(endpoint, result.OK, &mesh.Load{InFlight: -5, Queued: -1, Limit: 1 << 30}), start)
 		for range 20 {
 			t, _ := f.pick(start)
 			Expect(t.Node).To(BeEquivalentTo("b"))
--- a/measure/moves/control.go
+++ b/measure/moves/control.go
@@ -93,7 +93,7 @@
 		p := &d.mail[n][slot]
 		changed := g.Rows(p.rows, now)
 		for i := range p.reports {
-			g.Hear(&p.reports[i])
+			g.Receive(&p.reports[i])
 		}
 		p.rows, p.reports = p.rows[:0], p.reports[:0]
 		if d.ticks%10 == n%10 {
@@ -166,7 +166,7 @@
 	}
 }
 
-// verdictOf returns the verdict on the evidence that the first node has heard.
+// verdictOf returns the verdict on the evidence that the first node has received.
 func (d *decided) verdictOf(id mesh.MoveID) *mesh.Verdict {
 	for _, v := range d.guards[0].Verdicts() {
 		if v.Move == id {
--- a/mesh/evidence.go
+++ b/mesh/evidence.go
@@ -22,7 +22,7 @@
 	New   Tally   `cbor:"3,keyasint"`
 }
 
-// Evidence is what one node saw of a move since the node first heard of it.
+// Evidence is what one node saw of a move since the node first received its row.
 // A later report of the same incarnation replaces an earlier one.
 type Evidence struct {
 	Move        MoveID       `cbor:"1,keyasint"`
@@ -33,9 +33,9 @@
 	// Cut is set when the node has cut the new version's share to zero.
 	Cut    bool   `cbor:"6,keyasint"`
 	Reason string `cbor:"7,keyasint"`
-	// Doubt is set while the node keeps the share at half because answers got
+	// Recheck is set while the node keeps the share at half because answers got
 	// worse at full share.
-	Doubt bool `cbor:"8,keyasint"`
+	Recheck bool `cbor:"8,keyasint"`
 }
 
 // Crash is the end of an upstream process with calls in flight.
--- a/plugins/callslots/setup.go
+++ b/plugins/callslots/setup.go
@@ -18,7 +18,7 @@
 type Settings struct {
 	QueueWait    kernel.Duration `toml:"queue_wait" comment:"longest time that a call waits for a slot"`
 	DefaultQueue int             `toml:"default_queue" comment:"length of the queue of a service without a record"`
-	DrainGrace   kernel.Duration `toml:"drain_grace" comment:"time for which a draining upstream still gets the calls of entry nodes that have not heard of it"`
+	DrainGrace   kernel.Duration `toml:"drain_grace" comment:"time for which a draining upstream still gets the calls of entry nodes that have not learned of it"`
 	Quarantine   kernel.Duration `toml:"quarantine" comment:"time for which a request that crashes upstreams is refused"`
 }
 
--- a/plugins/callslots/slots.go
+++ b/plugins/callslots/slots.go
@@ -92,7 +92,7 @@
 		case ask := <-d.in.Settles.C():
 			d.settle(ask, time.Now())
 		case c := <-d.in.Crashes.C():
-			d.hear(ctx, &c, time.Now())
+			d.record(ctx, &c, time.Now())
 		case now := <-timer.C:
 			d.observe(ctx, now)
 		}
--- a/plugins/callslots/upstream.go
+++ b/plugins/callslots/upstream.go
@@ -145,15 +145,15 @@
 	c := &mesh.Crash{
 		Service: u.ended.Service, Node: d.self.node, Process: u.ended.Process, Fingerprints: prints, At: now,
 	}
-	quarantined := d.hear(ctx, c, now)
+	quarantined := d.record(ctx, c, now)
 	d.audit(ctx, c, quarantined)
 	d.in.Logger.Warn().Str("service", string(c.Service)).Str("process", c.Process).
 		Int("calls", len(prints)).Int("quarantined", len(quarantined)).Msg("upstream process crashed")
 }
 
-// hear takes over a crash report and passes a new one on, so that it reaches
+// record takes over a crash report and passes a new one on, so that it reaches
 // nodes that are not linked with the reporting one.
-func (d *duty) hear(ctx context.Context, c *mesh.Crash, now time.Time) (quarantined []uint64) {
+func (d *duty) record(ctx context.Context, c *mesh.Crash, now time.Time) (quarantined []uint64) {
 	isNew, quarantined := d.quarantine.Report(c, now)
 	if isNew && d.in.Pushes != nil {
 		_ = d.in.Pushes.Send(ctx, port.Push{Message: wire.Quarantine{Crash: *c}}) // replaces the oldest
--- a/plugins/configstore/config.go
+++ b/plugins/configstore/config.go
@@ -107,7 +107,7 @@
 func (k *keeper) takeMessage(ctx context.Context, now time.Time, in port.In[wire.Message]) {
 	switch m := in.Message.(type) {
 	case wire.Hello:
-		k.peers.heard(in.From, now, m.InForce)
+		k.peers.seen(in.From, now, m.InForce)
 		k.offer(ctx, in.From, "")
 		k.fetch(ctx, now, in.From, m.InForce)
 	case wire.Heartbeat:
@@ -124,7 +124,7 @@
 }
 
 func (k *keeper) takeHeartbeat(ctx context.Context, now time.Time, from mesh.NodeID, m wire.Heartbeat) {
-	k.peers.heard(from, now, m.InForce)
+	k.peers.seen(from, now, m.InForce)
 	k.store.Acked(m.InForce)
 	if m.HeadAge > 0 {
 		k.store.ConfirmedByPeer(m.InForce, now.Add(-time.Duration(m.HeadAge)*time.Millisecond))
--- a/plugins/configstore/peers.go
+++ b/plugins/configstore/peers.go
@@ -23,8 +23,8 @@
 
 type peers map[mesh.NodeID]peer
 
-// heard notes a message that shows a peer's version in force.
-func (p peers) heard(node mesh.NodeID, now time.Time, inForce mesh.Version) {
+// seen notes a message that shows a peer's version in force.
+func (p peers) seen(node mesh.NodeID, now time.Time, inForce mesh.Version) {
 	old, known := p[node]
 	if !known && len(p) >= maxPeers {
 		p.dropOldest()
--- a/plugins/linkoverlay/link.go
+++ b/plugins/linkoverlay/link.go
@@ -31,11 +31,11 @@
 // link is one connection to a peer. The links duty owns it; the reader and the
 // writer share its connection, ring and context.
 type link struct {
-	conn   *websocket.Conn
-	peer   wire.Hello
-	dialer mesh.NodeID            // the end that dialled
-	send   *kernel.Ring[[]byte]   // encoded messages, from the links duty to the writer
-	heard  kernel.Cell[time.Time] // time of the last message, stored by the reader
+	conn     *websocket.Conn
+	peer     wire.Hello
+	dialer   mesh.NodeID            // the end that dialled
+	send     *kernel.Ring[[]byte]   // encoded messages, from the links duty to the writer
+	lastSeen kernel.Cell[time.Time] // time of the last message, stored by the reader
 
 	ctx context.Context // ends with one of the reasons above
 	end context.CancelCauseFunc
@@ -51,7 +51,7 @@
 		send:   kernel.NewRing[[]byte]("link.send", sendRing, kernel.Refuse),
 	}
 	l.ctx, l.end = context.WithCancelCause(context.Background())
-	l.heard.Store(&now)
+	l.lastSeen.Store(&now)
 	return l
 }
 
--- a/plugins/linkoverlay/links.go
+++ b/plugins/linkoverlay/links.go
@@ -111,7 +111,7 @@
 		return
 	}
 	for _, k := range l.byNode {
-		if now.After(l.noSilence) && now.Sub(*k.heard.Load()) >= l.Settings.Silence.Duration {
+		if now.After(l.noSilence) && now.Sub(*k.lastSeen.Load()) >= l.Settings.Silence.Duration {
 			l.drop(k, errSilent)
 		}
 	}
--- a/plugins/linkoverlay/links_test.go
+++ b/plugins/linkoverlay/links_test.go
@@ -150,7 +150,7 @@
 		Expect(next().Event).To(HaveValue(Equal(port.LinkEvent{Hello: hello, Lost: true})))
 	})
 
-	// A restarted node must hear of requests that crash upstreams, or it runs
+	// A restarted node must learn of requests that crash upstreams, or it runs
 	// them again.
 	It("tells a new link of recent crashes, once for each life of the peer", func() {
 		recent := wire.Quarantine{Crash: mesh.Crash{Node: "a", Process: "p", At: time.Now().UTC()}}
@@ -158,7 +158,7 @@
 		for _, q := range []wire.Quarantine{old, recent} {
 			Expect(push.Send(context.Background(), port.Push{Message: q})).To(Succeed())
 		}
-		heard := func(incarnation mesh.Incarnation) (list []wire.Message) {
+		receivedBy := func(incarnation mesh.Incarnation) (list []wire.Message) {
 			h := hello
 			h.Incarnation = incarnation
 			conn := connect(h)
@@ -177,9 +177,9 @@
 			}
 			return list
 		}
-		Expect(heard(4)).To(Equal([]wire.Message{recent}))
-		Expect(heard(4)).To(BeEmpty())
-		Expect(heard(5)).To(Equal([]wire.Message{recent}))
+		Expect(receivedBy(4)).To(Equal([]wire.Message{recent}))
+		Expect(receivedBy(4)).To(BeEmpty())
+		Expect(receivedBy(5)).To(Equal([]wire.Message{recent}))
 	})
 
 	It("reports a peer whose address nobody listens at as silent", func() {
--- a/plugins/linkoverlay/reader.go
+++ b/plugins/linkoverlay/reader.go
@@ -39,7 +39,7 @@
 			return errLost
 		}
 		now := time.Now()
-		l.heard.Store(&now)
+		l.lastSeen.Store(&now)
 		in.meters.messagesIn.Inc(1)
 		in.meters.bytesIn.Inc(int64(len(b)))
 		m, err := wire.Decode(b)
--- a/plugins/movesguard/guard.go
+++ b/plugins/movesguard/guard.go
@@ -119,7 +119,7 @@
 		g.synced = true
 		g.rows(ctx, m.Moves, in.From, now)
 	case wire.EvidenceReport:
-		if g.ready(now) && g.guard.Hear(&m.Evidence) {
+		if g.ready(now) && g.guard.Receive(&m.Evidence) {
 			g.send(ctx, m, in.From)
 		}
 	}
