Limit the size of callers' bodies

Cause: headers, messages and connections were limited, bodies were not. Change: [edge.callers] max_body_bytes, 16 GiB by default; a body that is announced larger is refused with 1025 before any of it is sent on.

--- a/plugins/edgecallers/setup.go
+++ b/plugins/edgecallers/setup.go
@@ -13,6 +13,7 @@
 
 	"teaselring/kernel"
 	"teaselring/port"
+	"teaselring/result"
 )
 
 // Settings are the table [edge.callers] of a settings file.
@@ -20,6 +21,7 @@
 	Address        netip.AddrPort  `toml:"address" comment:"IP:port on which callers reach the node"`
 	MaxConnections int             `toml:"max_connections" comment:"connections of callers at a time, 1 to 100000"`
 	MaxHeaderBytes int             `toml:"max_header_bytes" comment:"size of a request's headers, 1024 to 1048576"`
+	MaxBodyBytes   int64           `toml:"max_body_bytes" comment:"size of a request's body, 1024 to 1099511627776"`
 	HeaderTimeout  kernel.Duration `toml:"header_timeout" comment:"time for a request's headers to arrive, 100ms to 1m"`
 	IdleTimeout    kernel.Duration `toml:"idle_timeout" comment:"time that an idle connection is kept, 1s to 1h"`
 }
@@ -35,6 +37,9 @@
 	if err := kernel.InRange("max_header_bytes", s.MaxHeaderBytes, 1<<10, 1<<20); err != nil {
 		return err
 	}
+	if err := kernel.InRange("max_body_bytes", s.MaxBodyBytes, 1<<10, 1<<40); err != nil {
+		return err
+	}
 	if err := kernel.SpanInRange("header_timeout", s.HeaderTimeout, 100*time.Millisecond, time.Minute); err != nil {
 		return err
 	}
@@ -50,6 +55,7 @@
 				Address:        netip.MustParseAddrPort("127.0.0.1:8080"),
 				MaxConnections: 4096,
 				MaxHeaderBytes: 64 << 10,
+				MaxBodyBytes:   16 << 30,
 				HeaderTimeout:  kernel.Span(10 * time.Second),
 				IdleTimeout:    kernel.Span(90 * time.Second),
 			}
@@ -65,7 +71,8 @@
 func listener(s *Settings, entry port.CallEntry) port.Listener {
 	gin.SetMode(gin.ReleaseMode)
 	engine := gin.New()
-	engine.NoRoute(gin.WrapH(entry.Handler))
+	// gin presets status 404 here; the call path always sets the status itself.
+	engine.NoRoute(gin.WrapH(limitBody(entry.Handler, s.MaxBodyBytes)))
 	server := &http.Server{
 		Handler:           engine,
 		MaxHeaderBytes:    s.MaxHeaderBytes,
@@ -77,3 +84,16 @@
 		Server: server, Serve: server.Serve,
 	}
 }
+
+// limitBody refuses a request whose body is known to be too large before any
+// byte of it is sent on, and ends one that turns out to be.
+func limitBody(next http.Handler, limit int64) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength > limit {
+			port.Refuse(w, result.BodyTooLarge.Errorf("the body has %d bytes; allowed are %d", r.ContentLength, limit))
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, limit)
+		next.ServeHTTP(w, r)
+	})
+}
