--- a/kernel/app.go
+++ b/kernel/app.go
@@ -94,13 +94,3 @@
 	app := fx.New(Options(settings, NewLogger(io.Discard)), fx.Populate(&inv))
 	return inv, app.Err()
 }
-
-// NewLogger returns a logger of JSON lines.
-func NewLogger(w io.Writer) *log.Logger {
-	return &log.Logger{
-		Level:      log.InfoLevel,
-		TimeField:  "time",
-		TimeFormat: time.RFC3339Nano,
-		Writer:     log.IOWriter{Writer: w},
-	}
-}
--- a/measure/convergence/log.go
+++ b/measure/convergence/log.go
@@ -37,7 +37,7 @@
 	for line := range bytes.Lines(content) {
 		var entry struct {
 			Time    time.Time `json:"time"`
-			Message string    `json:"message"`
+			Message string    `json:"msg"`
 			Version uint64    `json:"version"`
 		}
 		if json.Unmarshal(line, &entry) == nil && entry.Message == "version in force" {
