Answer refused announcements with the shared refusal

Cause: upstream.local had a writer of its own for the JSON of a refusal. Conclusion: one form of refusal on HTTP.

--- a/plugins/upstreamlocal/edge.go
+++ b/plugins/upstreamlocal/edge.go
@@ -54,7 +54,7 @@
 			err = requests.Send(r.Context(), a)
 		}
 		if err != nil {
-			refuse(w, err)
+			port.Refuse(w, err)
 			return
 		}
 		w.WriteHeader(http.StatusNoContent)
@@ -109,13 +109,3 @@
 	e.Message = field + ": " + e.Message
 	return e.With("field", field)
 }
-
-// refuse answers with the JSON of an error.
-func refuse(w http.ResponseWriter, err error) {
-	e := result.From(err)
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(e.Code.Status)
-	_ = json.NewEncoder(w).Encode(map[string]any{
-		"code": e.Code.Number, "name": e.Code.Name, "message": e.Message, "details": e.Details,
-	})
-}
