Read refusals of other nodes in one place

Cause: the call path and the operators' routes each decoded a refusal. Change: port.ReadRefusal beside port.Refuse; both call it.

--- a/plugins/callforward/exchange.go
+++ b/plugins/callforward/exchange.go
@@ -180,9 +180,9 @@
 		return nil, nil, c.settleFailure(ctx, a, err, connected.Load())
 	}
 	load := parseLoad(answer.Header.Get(headerLoad))
-	if number := answer.Header.Get(port.CodeHeader); number != "" {
+	if answer.Header.Get(port.CodeHeader) != "" {
 		defer answer.Body.Close()
-		return nil, load, readRefusal(answer, number)
+		return nil, load, port.ReadRefusal(answer)
 	}
 	removeHeaders(answer.Header, hopHeaders, internalHeaders)
 	return answer, load, nil
@@ -231,16 +231,3 @@
 	return answer.StatusCode == http.StatusOK &&
 		json.NewDecoder(answer.Body).Decode(&settled) == nil && settled.NotRun
 }
-
-// readRefusal turns an owner node's refusal back into an error.
-func readRefusal(answer *http.Response, number string) error {
-	n, err := strconv.Atoi(number)
-	if err != nil {
-		return result.Internal.Errorf("owner node sent the code %q", number)
-	}
-	var refusal port.Refusal
-	if err := json.NewDecoder(answer.Body).Decode(&refusal); err != nil {
-		return result.ByNumber(n).Err()
-	}
-	return &result.Error{Code: result.ByNumber(n), Message: refusal.Message, Details: refusal.Details}
-}
--- a/plugins/operatorsapi/status.go
+++ b/plugins/operatorsapi/status.go
@@ -203,11 +203,9 @@
 	if answer.StatusCode == http.StatusOK {
 		return nil
 	}
-	var refusal port.Refusal
-	if err := json.NewDecoder(answer.Body).Decode(&refusal); err != nil {
-		return result.Internal.Errorf("node %s: status %d", m.Node, answer.StatusCode)
-	}
-	return result.ByNumber(refusal.Code).Errorf("node %s: %s", m.Node, refusal.Message)
+	refusal := port.ReadRefusal(answer)
+	refusal.Message = fmt.Sprintf("node %s: %s", m.Node, refusal.Message)
+	return refusal
 }
 
 func (a *api) peerDrain(w http.ResponseWriter, r *http.Request) {
--- a/port/refuse.go
+++ b/port/refuse.go
@@ -34,3 +34,17 @@
 	w.WriteHeader(e.Code.Status)
 	_, _ = w.Write(body)
 }
+
+// ReadRefusal turns another node's refusal back into an error. Its code is the
+// one of the header even when the body can't be read.
+func ReadRefusal(answer *http.Response) *result.Error {
+	number, err := strconv.Atoi(answer.Header.Get(CodeHeader))
+	if err != nil {
+		return result.Internal.Errorf("status %d with the code %q", answer.StatusCode, answer.Header.Get(CodeHeader))
+	}
+	var refusal Refusal
+	if err := json.NewDecoder(answer.Body).Decode(&refusal); err != nil {
+		return result.ByNumber(number).Err()
+	}
+	return &result.Error{Code: result.ByNumber(number), Message: refusal.Message, Details: refusal.Details}
+}
