--- a/cmd/teasel-node/main_test.go
+++ b/cmd/teasel-node/main_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"teaselring/cmd/internal/nodecommand"
 	"teaselring/kernel"
 )
 
@@ -19,7 +20,7 @@
 const sample = "../../docs/teasel-node.sample.toml"
 
 func output(args ...string) string {
-	c := command()
+	c := nodecommand.New("teasel-node", "", "teasel-node.toml")
 	var out bytes.Buffer
 	c.SetOut(&out)
 	c.SetArgs(args)
--- /dev/null
+++ b/cmd/teasel-sidecar/plugins.go
@@ -0,0 +1,16 @@
+package main
+
+// The plug-ins of a node on the platform. Each registers itself in its init
+// function.
+import (
+	_ "teaselring/platform"
+	_ "teaselring/plugins/callrelay"
+	_ "teaselring/plugins/callrouter"
+	_ "teaselring/plugins/callslots"
+	_ "teaselring/plugins/configrows"
+	_ "teaselring/plugins/edgeinbound"
+	_ "teaselring/plugins/edgeoutbound"
+	_ "teaselring/plugins/membershiprows"
+	_ "teaselring/plugins/storereplica"
+	_ "teaselring/plugins/upstreambeats"
+)
--- a/decision/limit/slots.go
+++ b/decision/limit/slots.go
@@ -30,6 +30,26 @@
 	Attempt  mesh.AttemptID
 	Class    mesh.Class
 	Deadline time.Time
+	// StartBy replaces the queue's longest wait; zero: it applies.
+	StartBy time.Time
+	// Priority ranks the call instead of its class where Ranked; 0 is first.
+	Priority int
+	Ranked   bool
+}
+
+func (q *Request) rank() rank {
+	if !q.Ranked {
+		return rankOf(q.Class)
+	}
+	return rankFirst - rank(min(max(q.Priority, 0), priorities-1))
+}
+
+// until returns the time at which the request must have started.
+func (q *Request) until(now time.Time, wait time.Duration) time.Time {
+	if q.StartBy.IsZero() {
+		return earlier(q.Deadline, now.Add(wait))
+	}
+	return earlier(q.Deadline, q.StartBy)
 }
 
 // Refusal is a waiting call that will not start, with the reason.
@@ -72,9 +92,16 @@
 	rankRead rank = iota
 	rankUpload
 	rankOnce
-	ranks
+	// rankLast to rankFirst are the ranks of calls with a priority.
+	rankLast
+	rankFirst = rankLast + priorities - 1
+	ranks     = rankFirst + 1
 )
 
+// priorities is the number of priorities that are told apart. Less important
+// ones share the last.
+const priorities = 8
+
 func rankOf(c mesh.Class) rank {
 	switch c {
 	case mesh.ClassOnce:
@@ -116,8 +143,8 @@
 	if !q.Deadline.After(now) {
 		return nil, result.DeadlineBefore.Err()
 	}
-	w := waiter{Request: q, since: now, until: earlier(q.Deadline, now.Add(s.params.QueueWait))}
-	if !s.startable(rankOf(q.Class)) {
+	w := waiter{Request: q, since: now, until: q.until(now, s.params.QueueWait)}
+	if !s.startable(q.rank()) {
 		return s.enqueueWaiting(w)
 	}
 	s.push(w)
@@ -125,7 +152,7 @@
 }
 
 func (s *Slots) enqueueWaiting(w waiter) (*Refusal, error) {
-	r := rankOf(w.Class)
+	r := w.rank()
 	if r == rankUpload && len(s.queue[rankUpload]) >= half(s.maxQueue) {
 		return nil, result.ClassLimit.Errorf("%d uploads run and %d wait", s.uploads, len(s.queue[rankUpload]))
 	}
@@ -143,7 +170,7 @@
 }
 
 func (s *Slots) push(w waiter) {
-	r := rankOf(w.Class)
+	r := w.rank()
 	s.queue[r] = append(s.queue[r], w)
 }
 
@@ -194,7 +221,7 @@
 }
 
 func (s *Slots) start(w waiter, now time.Time) {
-	r := rankOf(w.Class)
+	r := w.rank()
 	if r == rankUpload {
 		s.uploads++
 	}
--- a/decision/limit/slots_test.go
+++ b/decision/limit/slots_test.go
@@ -33,7 +33,7 @@
 func (o *owner) ask(class mesh.Class, now time.Time, timeout time.Duration) (mesh.AttemptID, bool, *result.Code) {
 	o.ids++
 	id := mesh.AttemptID(fmt.Sprint(o.ids))
-	_, err := o.Enqueue(Request{id, class, now.Add(timeout)}, now)
+	_, err := o.Enqueue(Request{Attempt: id, Class: class, Deadline: now.Add(timeout)}, now)
 	if err != nil {
 		return id, false, result.Of(err)
 	}
@@ -84,7 +84,7 @@
 		o.fill(mesh.ClassRead, 1)   // 2
 		o.fill(mesh.ClassUpload, 1) // 3
 		lost := func(class mesh.Class, id string) mesh.AttemptID {
-			evicted, err := o.Enqueue(Request{mesh.AttemptID(id), class, at(time.Second)}, start)
+			evicted, err := o.Enqueue(Request{Attempt: mesh.AttemptID(id), Class: class, Deadline: at(time.Second)}, start)
 			Expect(err).NotTo(HaveOccurred())
 			return evicted.Attempt
 		}
@@ -182,7 +182,7 @@
 		for i := range 20000 {
 			now = now.Add(time.Duration(rnd.IntN(4000)) * time.Microsecond)
 			id := mesh.AttemptID(fmt.Sprint("r", i))
-			evicted, err := o.Enqueue(Request{id, classes[rnd.IntN(3)], now.Add(20 * time.Millisecond)}, now)
+			evicted, err := o.Enqueue(Request{Attempt: id, Class: classes[rnd.IntN(3)], Deadline: now.Add(20 * time.Millisecond)}, now)
 			if err == nil {
 				open[id] = true
 			}
--- /dev/null
+++ b/decision/replica/replica.go
@@ -0,0 +1,137 @@
+// Package replica merges what the platform and other nodes say about rows into
+// one copy. A row's revision decides, so that the order of messages does not
+// matter and no row goes back to an older content.
+package replica
+
+import "maps"
+
+// Row is one row of a table, or the trace of a deleted one.
+type Row struct {
+	Table    string `cbor:"1,keyasint"`
+	Key      string `cbor:"2,keyasint"`
+	Value    []byte `cbor:"3,keyasint"`
+	Revision uint64 `cbor:"4,keyasint"` // of the last change, deletion included
+	Deleted  bool   `cbor:"5,keyasint"`
+}
+
+// Seen is the newest revision known of each table.
+type Seen map[string]uint64
+
+// Behind reports whether other knows a newer revision of some table of s.
+func (s Seen) Behind(other Seen) bool {
+	for table, revision := range other {
+		if revision > s[table] {
+			return true
+		}
+	}
+	return false
+}
+
+// Set is an immutable copy of the rows.
+type Set struct {
+	tables map[string]map[string]Row
+	seen   Seen
+	listed map[string]bool
+}
+
+// New returns an empty set.
+func New() *Set {
+	return &Set{tables: map[string]map[string]Row{}, seen: Seen{}, listed: map[string]bool{}}
+}
+
+// Get returns a row that exists.
+func (s *Set) Get(table, key string) (Row, bool) {
+	r, ok := s.tables[table][key]
+	return r, ok && !r.Deleted
+}
+
+// Each calls f for each existing row of a table, in no order.
+func (s *Set) Each(table string, f func(Row)) {
+	for _, r := range s.tables[table] {
+		if !r.Deleted {
+			f(r)
+		}
+	}
+}
+
+// Seen returns the newest revisions known. The caller must not change it.
+func (s *Set) Seen() Seen { return s.seen }
+
+// Listed reports whether a table has been listed whole, by the platform or by a
+// node that had listed it.
+func (s *Set) Listed(table string) bool { return s.listed[table] }
+
+// Newer returns the rows, deleted ones included, with a revision above those given.
+func (s *Set) Newer(than Seen) []Row {
+	var rows []Row
+	for table, byKey := range s.tables {
+		for _, r := range byKey {
+			if r.Revision > than[table] {
+				rows = append(rows, r)
+			}
+		}
+	}
+	return rows
+}
+
+// Merge returns the set with the rows that are newer than those held, and
+// whether there were any.
+func (s *Set) Merge(rows []Row) (*Set, bool) {
+	next := s
+	for _, r := range rows {
+		if held, ok := next.tables[r.Table][r.Key]; ok && held.Revision >= r.Revision {
+			continue
+		}
+		if next == s {
+			next = s.copy()
+		}
+		next.put(r)
+	}
+	return next, next != s
+}
+
+// List takes over a complete listing of a table as of a revision. Rows that are
+// not in it and not newer have been deleted.
+func (s *Set) List(table string, rows []Row, revision uint64) *Set {
+	next, changed := s.Merge(rows)
+	if !changed {
+		next = s.copy()
+	}
+	present := map[string]bool{}
+	for _, r := range rows {
+		present[r.Key] = true
+	}
+	for key, r := range next.tables[table] {
+		if !present[key] && r.Revision <= revision && !r.Deleted {
+			next.put(Row{Table: table, Key: key, Revision: revision, Deleted: true})
+		}
+	}
+	next.listed[table] = true
+	return next
+}
+
+// MarkListed notes that the set has all rows that a node with a whole listing has.
+func (s *Set) MarkListed(table string) *Set {
+	if s.listed[table] {
+		return s
+	}
+	next := s.copy()
+	next.listed[table] = true
+	return next
+}
+
+func (s *Set) copy() *Set {
+	next := &Set{tables: make(map[string]map[string]Row, len(s.tables)), seen: maps.Clone(s.seen), listed: maps.Clone(s.listed)}
+	for table, rows := range s.tables {
+		next.tables[table] = maps.Clone(rows)
+	}
+	return next
+}
+
+func (s *Set) put(r Row) {
+	if s.tables[r.Table] == nil {
+		s.tables[r.Table] = map[string]Row{}
+	}
+	s.tables[r.Table][r.Key] = r
+	s.seen[r.Table] = max(s.seen[r.Table], r.Revision)
+}
--- a/decision/retry/policy.go
+++ b/decision/retry/policy.go
@@ -35,6 +35,7 @@
 	Expected     time.Duration // of an answer of the service, 0 when unknown
 	Account      mesh.CallerID // whose budget is charged
 	Percent      int           // of that budget
+	MaxAttempts  int           // of the call's route; 0: the policy's
 }
 
 // Verdict is the decision about an attempt.
@@ -74,7 +75,7 @@
 	switch {
 	case a.RetriedBelow || a.RetriedAbove:
 		return Verdict{Mark: true, Why: WhyElsewhere}
-	case a.Made >= p.MaxAttempts:
+	case a.Made >= p.maxAttempts(a):
 		return Verdict{Mark: true, Why: WhyAttempts}
 	case now.Add(wait + max(a.Expected, p.MinRemaining)).After(a.Call.Deadline):
 		return Verdict{Mark: true, Why: WhyDeadline}
@@ -84,6 +85,13 @@
 	return Verdict{Retry: true, Wait: wait, Mark: true, Why: WhyAllowed}
 }
 
+func (p *Policy) maxAttempts(a *Attempt) int {
+	if a.MaxAttempts > 0 {
+		return a.MaxAttempts
+	}
+	return p.MaxAttempts
+}
+
 // permitted decides by what is known about the attempt alone. A complete
 // answer of the upstream is final, whatever its status: it is the response to
 // the request, and it may already stand for a failure further down.
--- a/kernel/app.go
+++ b/kernel/app.go
@@ -41,18 +41,28 @@
 // the exit code of the process.
 func Run(options ...fx.Option) int {
 	var grace *Grace
-	app := fx.New(append(options, fx.Populate(&grace), fx.StopTimeout(StopTimeout))...)
+	var reloads reloadsIn
+	app := fx.New(append(options, fx.Populate(&grace), fx.Invoke(func(in reloadsIn) { reloads = in }),
+		fx.StopTimeout(StopTimeout))...)
 	if err := app.Start(context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	code := 0
-	select {
-	case <-signals:
-	case s := <-app.Wait():
-		code = s.ExitCode
+	for waiting := true; waiting; {
+		select {
+		case <-hangups:
+			reloads.run()
+			continue
+		case <-signals:
+		case s := <-app.Wait():
+			code = s.ExitCode
+		}
+		waiting = false
 	}
 	go func() { <-signals; grace.End() }()
 	stopCtx, cancel := context.WithTimeout(context.Background(), StopTimeout)
--- a/kernel/duty.go
+++ b/kernel/duty.go
@@ -36,6 +36,16 @@
 	)
 }
 
+// ProvideWrappedRing is ProvideRing for a ring whose item type alone does not
+// tell it apart: wrap gives it a type of its own.
+func ProvideWrappedRing[T, W any](name string, capacity int, full FullPolicy, wrap func(*Ring[T]) W) fx.Option {
+	ring := NewRing[T](name, capacity, full)
+	return fx.Options(
+		fx.Provide(func() W { return wrap(ring) }),
+		fx.Provide(fx.Annotate(func() anyRing { return ring }, fx.ResultTags(`group:"rings"`))),
+	)
+}
+
 type dutiesIn struct {
 	fx.In
 	Duties []Duty       `group:"duties"`
@@ -58,6 +68,7 @@
 			return nil
 		},
 		OnStop: func(stopCtx context.Context) error {
+			in.Grace.begin()
 			runBeforeStop(stopCtx, in.Before)
 			in.Grace.drain(stopCtx)
 			cancel()
--- a/kernel/grace.go
+++ b/kernel/grace.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 )
 
 // Grace is the time that a stopping process gives to work in progress. While it
@@ -10,11 +11,13 @@
 type Grace struct {
 	over   context.Context
 	end    context.CancelFunc
+	began  chan struct{} // closed when the process begins to stop
+	at     time.Time     // of that; valid once began is closed
 	drains []func(over context.Context)
 }
 
 func newGrace() *Grace {
-	g := &Grace{}
+	g := &Grace{began: make(chan struct{})}
 	g.over, g.end = context.WithCancel(context.Background())
 	return g
 }
@@ -24,6 +27,32 @@
 // the application is built.
 func (g *Grace) Drain(f func(over context.Context)) { g.drains = append(g.drains, f) }
 
+// Began returns a channel that is closed when the process begins to stop.
+func (g *Grace) Began() <-chan struct{} { return g.began }
+
+// Stopping reports whether the process has begun to stop.
+func (g *Grace) Stopping() bool {
+	select {
+	case <-g.began:
+		return true
+	default:
+		return false
+	}
+}
+
+// StoppingFor returns the time since the process began to stop, 0 before.
+func (g *Grace) StoppingFor() time.Duration {
+	if !g.Stopping() {
+		return 0
+	}
+	return time.Since(g.at)
+}
+
+func (g *Grace) begin() {
+	g.at = time.Now()
+	close(g.began)
+}
+
 // End cuts work in progress short.
 func (g *Grace) End() { g.end() }
 
--- /dev/null
+++ b/kernel/reload.go
@@ -0,0 +1,22 @@
+package kernel
+
+import "go.uber.org/fx"
+
+// Reload is called on SIGHUP, which says that settings files may have changed.
+type Reload func()
+
+// ProvideReload adds the Reload that constructor returns.
+func ProvideReload(constructor any) fx.Option {
+	return fx.Provide(fx.Annotate(constructor, fx.ResultTags(`group:"reloads"`)))
+}
+
+type reloadsIn struct {
+	fx.In
+	Reloads []Reload `group:"reloads"`
+}
+
+func (in reloadsIn) run() {
+	for _, reload := range in.Reloads {
+		reload()
+	}
+}
--- a/mesh/call.go
+++ b/mesh/call.go
@@ -17,6 +17,15 @@
 	Deadline time.Time
 	// Fingerprint identifies equal requests for quarantine.
 	Fingerprint uint64
+	// StartBy is the latest time at which starting the call is of use; zero: the
+	// queue's own limit applies.
+	StartBy time.Time
+	// Aim is the time at which the answer loses a part of its worth; zero: none.
+	Aim time.Time
+	// Priority is the rank of the call among others; 0 is the most important. It
+	// counts only where Ranked, else the class decides.
+	Priority int
+	Ranked   bool
 }
 
 // Idempotent reports whether running the call twice does no harm: safe
--- a/mesh/member.go
+++ b/mesh/member.go
@@ -33,6 +33,8 @@
 	Slots   int             `json:"slots" cbor:"3,keyasint"`
 	State   EndpointState   `json:"state" cbor:"4,keyasint"`
 	Process string          `json:"process" cbor:"5,keyasint"` // differs for each start of the upstream
+	// Instance is the id that the upstream answers to; empty: none.
+	Instance string `json:"instance,omitempty" cbor:"6,keyasint,omitempty"`
 }
 
 // Member is one node and the upstream beside it, as membership spreads it.
--- a/mesh/snapshot.go
+++ b/mesh/snapshot.go
@@ -1,8 +1,11 @@
 package mesh
 
 import (
+	"sort"
 	"strings"
 	"time"
+
+	"teaselring/result"
 )
 
 // Digest is the SHA-256 of a configuration version's canonical content.
@@ -17,6 +20,21 @@
 	Services map[ServiceID]Service
 	Routes   []Route // longest prefix first
 	Callers  map[CallerID]CallerV1
+	// ByHost holds the routes of each host, longest prefix first. It is nil when
+	// routes are chosen by method and path alone.
+	ByHost map[string][]*Route
+	// Limits bound what a caller may send. Zero values mean the edge's own.
+	Limits EdgeLimits
+	// RetryByService charges retries to the service called instead of the caller.
+	RetryByService bool
+}
+
+// EdgeLimits bound the requests and connections of callers.
+type EdgeLimits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration // for the headers of a request to arrive
+	IdleTimeout   time.Duration // that a connection is kept without a request
 }
 
 // Service is the compiled form of a service record.
@@ -24,6 +42,10 @@
 	ID    ServiceID
 	Slots int
 	Queue int
+	// HealthPath is the path of the upstreams' health check; empty: none.
+	HealthPath string
+	// Connections is the number that one upstream accepts; 0: not limited.
+	Connections int
 }
 
 // Route is the compiled form of a route record of any schema.
@@ -34,6 +56,42 @@
 	Service    ServiceID
 	Class      Class
 	Timeout    time.Duration
+	Host       string // empty: every host
+	// Split divides the calls among services, in place of Service.
+	Split []ServiceShare
+	// MaxAttempts is the number of upstreams that one call may be sent to;
+	// 0: the policy's.
+	MaxAttempts int
+	// Target is the time within which an answer has its full worth; 0: Timeout.
+	Target time.Duration
+	// Priority ranks routes; 0 is the most important. It counts only where Ranked.
+	Priority int
+	Ranked   bool
+}
+
+// ServiceShare is one part of a route's split.
+type ServiceShare struct {
+	Service ServiceID
+	Weight  float64
+}
+
+// ServiceFor returns the service of a call whose draw is uniform in [0, 1).
+func (r *Route) ServiceFor(draw float64) ServiceID {
+	if len(r.Split) == 0 {
+		return r.Service
+	}
+	total := 0.0
+	for _, part := range r.Split {
+		total += part.Weight
+	}
+	at := draw * total
+	for _, part := range r.Split {
+		if at < part.Weight {
+			return part.Service
+		}
+		at -= part.Weight
+	}
+	return r.Split[len(r.Split)-1].Service
 }
 
 // Matches reports whether the route serves the request.
@@ -72,3 +130,48 @@
 	}
 	return nil
 }
+
+// Services returns the services that the route's calls may go to.
+func (r *Route) Services() []ServiceID {
+	if len(r.Split) == 0 {
+		return []ServiceID{r.Service}
+	}
+	ids := make([]ServiceID, len(r.Split))
+	for i, part := range r.Split {
+		ids[i] = part.Service
+	}
+	return ids
+}
+
+// Index fills ByHost from Routes. It fails with result.OverlappingRoute when two
+// routes of a host share a prefix.
+func (s *Snapshot) Index() error {
+	s.ByHost = map[string][]*Route{}
+	for i := range s.Routes {
+		r := &s.Routes[i]
+		s.ByHost[r.Host] = append(s.ByHost[r.Host], r)
+	}
+	for host, routes := range s.ByHost {
+		sort.Slice(routes, func(i, j int) bool {
+			a, b := routes[i].PathPrefix, routes[j].PathPrefix
+			return len(a) > len(b) || (len(a) == len(b) && a < b)
+		})
+		for i := 1; i < len(routes); i++ {
+			if routes[i].PathPrefix == routes[i-1].PathPrefix {
+				return result.OverlappingRoute.Errorf("routes %q and %q of host %q share the prefix %q",
+					routes[i-1].ID, routes[i].ID, host, routes[i].PathPrefix)
+			}
+		}
+	}
+	return nil
+}
+
+// RouteOfHost returns the host's route with the longest prefix of the path, or nil.
+func (s *Snapshot) RouteOfHost(host, path string) *Route {
+	for _, r := range s.ByHost[host] {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r
+		}
+	}
+	return nil
+}
--- a/plugins/callforward/body.go
+++ b/plugins/callforward/body.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"teaselring/wire"
 )
 
 // heldBodyBytes is the largest body that is read before the first attempt, so
@@ -69,7 +71,7 @@
 // is held, the body. All nodes compute the same number.
 func fingerprint(r *http.Request, b *callBody) uint64 {
 	h := fnv.New64a()
-	for _, part := range []string{r.Method, r.URL.RequestURI(), r.Header.Get(headerKey)} {
+	for _, part := range []string{r.Method, r.URL.RequestURI(), r.Header.Get(wire.HeaderKey)} {
 		_, _ = io.WriteString(h, part)
 		_, _ = h.Write([]byte{0})
 	}
--- a/plugins/callforward/callforward_test.go
+++ b/plugins/callforward/callforward_test.go
@@ -15,6 +15,7 @@
 
 	"teaselring/mesh"
 	"teaselring/result"
+	"teaselring/wire"
 )
 
 // A caller that takes a part of an answer for the whole acts on wrong data.
@@ -56,7 +57,7 @@
 				return
 			}
 			_, _ = io.Copy(io.Discard, request.Body)
-			seen <- request.Header.Get(headerKey)
+			seen <- request.Header.Get(wire.HeaderKey)
 			if n == 0 {
 				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 			}
@@ -83,9 +84,9 @@
 	if local {
 		p.targets = []mesh.Target{p.local(), p.local()}
 	}
-	answer, _, _ := send(p.request("POST", "/once/a", body, map[string]string{headerKey: "first"}))
+	answer, _, _ := send(p.request("POST", "/once/a", body, map[string]string{wire.HeaderKey: "first"}))
 	Expect(answer.StatusCode).To(Equal(http.StatusOK))
-	answer, _, _ = send(p.request("POST", "/once/b", body, map[string]string{headerKey: "second"}))
+	answer, _, _ = send(p.request("POST", "/once/b", body, map[string]string{wire.HeaderKey: "second"}))
 	Expect(code(answer)).To(Equal(result.UpstreamLost))
 	Expect(keys).To(Receive(Equal("first")))
 	Expect(keys).To(Receive(Equal("second")))
@@ -132,7 +133,7 @@
 	// The caller would repeat a charge that ran.
 	DescribeTable("is not refused as not run by a later attempt", func(later func() []mesh.Target) {
 		p.targets = append([]mesh.Target{p.remote()}, later()...)
-		answer, _, _ := send(p.request("POST", "/once/a", "x", map[string]string{headerKey: "k"}))
+		answer, _, _ := send(p.request("POST", "/once/a", "x", map[string]string{wire.HeaderKey: "k"}))
 		Expect(code(answer)).To(Equal(result.UpstreamLost))
 	},
 		Entry("that finds no endpoint", func() []mesh.Target { return nil }),
@@ -146,8 +147,8 @@
 			breaking := *p.entry
 			breaking.Peers.Client = &http.Client{Transport: loseCalls{p.entry.Peers.Transport}}
 			c := &exchange{entry: &breaking}
-			err := c.settleFailure(context.Background(), &attempt{
-				id: "a1", target: p.remote(), call: mesh.Call{Deadline: time.Now().Add(time.Minute)},
+			err := c.settleFailure(context.Background(), &wire.Attempt{
+				ID: "a1", Target: p.remote(), Call: mesh.Call{Deadline: time.Now().Add(time.Minute)},
 			}, io.ErrUnexpectedEOF, true)
 			Expect(p.settles).To(Receive(BeEquivalentTo("a1")))
 			if p.fenced {
@@ -177,7 +178,7 @@
 		seen <- r.Header
 		for name, value := range map[string]string{
 			"Connection": "X-Answer-Hop", "X-Answer-Hop": "1", "Keep-Alive": "5", "X-Kept": "answer",
-			headerLoad: "9,9,9", "Teasel-Code": "1018",
+			wire.HeaderLoad: "9,9,9", "Teasel-Code": "1018",
 		} {
 			w.Header().Set(name, value)
 		}
@@ -189,7 +190,7 @@
 	}
 	answer, body, err := send(p.request("GET", "/read/a", "", map[string]string{
 		"Connection": "X-Hop", "X-Hop": "1", "Keep-Alive": "5", "X-Kept": "request", "Te": "trailers",
-		headerAttempt: "forged", headerClass: "once", headerIncarnation: "7", headerRoute: "forged", headerFingerprint: "f",
+		wire.HeaderAttempt: "forged", wire.HeaderClass: "once", wire.HeaderIncarnation: "7", wire.HeaderRoute: "forged", wire.HeaderFingerprint: "f",
 	}))
 	Expect(err).NotTo(HaveOccurred())
 	Expect(body).To(Equal("ok"))
@@ -199,9 +200,9 @@
 		Expect(got).NotTo(HaveKey(name))
 	}
 	Expect(got.Get("X-Kept")).To(Equal("request"))
-	Expect(got.Get(headerAttempt)).NotTo(Or(BeEmpty(), Equal("forged")))
-	Expect(got.Get(headerClass)).To(Equal("read"))
-	Expect(got.Get(headerRoute)).To(Equal("r"))
+	Expect(got.Get(wire.HeaderAttempt)).NotTo(Or(BeEmpty(), Equal("forged")))
+	Expect(got.Get(wire.HeaderClass)).To(Equal("read"))
+	Expect(got.Get(wire.HeaderRoute)).To(Equal("r"))
 	for _, name := range []string{"X-Answer-Hop", "Keep-Alive", "Teasel-Load", "Teasel-Code"} {
 		Expect(answer.Header).NotTo(HaveKey(name))
 	}
--- a/plugins/callforward/entry.go
+++ b/plugins/callforward/entry.go
@@ -12,6 +12,7 @@
 	"teaselring/mesh"
 	"teaselring/port"
 	"teaselring/result"
+	"teaselring/wire"
 )
 
 // entry accepts callers' requests and carries each to an owner node.
@@ -44,8 +45,8 @@
 	c := &exchange{
 		entry: e, request: r, patience: patience, body: body,
 		call: mesh.Call{
-			Method: r.Method, Path: r.URL.Path, Caller: mesh.CallerID(r.Header.Get(headerCaller)),
-			Key: r.Header.Get(headerKey), Class: route.Class, Service: route.Service, Route: route.ID,
+			Method: r.Method, Path: r.URL.Path, Caller: mesh.CallerID(r.Header.Get(wire.HeaderCaller)),
+			Key: r.Header.Get(wire.HeaderKey), Class: route.Class, Service: route.Service, Route: route.ID,
 			Deadline: now.Add(timeout), Fingerprint: fingerprint(r, body),
 		},
 	}
@@ -66,7 +67,7 @@
 
 // callTimeout is the route's timeout, or less when the caller has less left.
 func callTimeout(r *http.Request, route *mesh.Route) time.Duration {
-	left, err := strconv.ParseInt(r.Header.Get(headerDeadline), 10, 64)
+	left, err := strconv.ParseInt(r.Header.Get(wire.HeaderDeadline), 10, 64)
 	if err != nil {
 		return route.Timeout
 	}
--- a/plugins/callforward/exchange.go
+++ b/plugins/callforward/exchange.go
@@ -13,6 +13,7 @@
 	"teaselring/mesh"
 	"teaselring/port"
 	"teaselring/result"
+	"teaselring/wire"
 )
 
 // exchange is one call at its entry node, over all its attempts.
@@ -121,7 +122,7 @@
 	c.tried = append(c.tried, target.Node)
 	outcome.Target = target
 	began := time.Now()
-	answer, load, err := c.run(ctx, &attempt{id: newAttemptID(), call: c.call, target: target})
+	answer, load, err := c.run(ctx, &wire.Attempt{ID: newAttemptID(), Call: c.call, Target: target})
 	outcome.Duration = time.Since(began)
 	outcome.Load = load
 	describe(&outcome, answer, err)
@@ -149,28 +150,28 @@
 
 // run sends the attempt to its target: over the peers' connection, or straight
 // to the upstream beside this node.
-func (c *exchange) run(ctx context.Context, a *attempt) (*http.Response, *mesh.Load, error) {
+func (c *exchange) run(ctx context.Context, a *wire.Attempt) (*http.Response, *mesh.Load, error) {
 	request := c.request.Clone(ctx)
 	request.Body = c.body.forAttempt()
 	request.RequestURI = ""
 	request.Close = false // the caller's wish for its own connection
-	removeHeaders(request.Header, hopHeaders, internalHeaders)
-	if a.target.Node == c.Identity.Node {
+	removeHeaders(request.Header)
+	if a.Target.Node == c.Identity.Node {
 		answer, load, err := c.Owner.run(ctx, a, request)
 		return answer, &load, err
 	}
 	return c.runRemote(ctx, a, request)
 }
 
-func (c *exchange) runRemote(ctx context.Context, a *attempt, request *http.Request) (*http.Response, *mesh.Load, error) {
+func (c *exchange) runRemote(ctx context.Context, a *wire.Attempt, request *http.Request) (*http.Response, *mesh.Load, error) {
 	var connected atomic.Bool
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
 	request = request.WithContext(traced)
-	a.write(request.Header, time.Now())
+	a.Write(request.Header, time.Now())
 	request.URL.Scheme = "https"
-	request.URL.Host = a.target.PeerAddress
+	request.URL.Host = a.Target.PeerAddress
 	request.URL.Path = callPrefix + request.URL.Path
 	if request.URL.RawPath != "" {
 		request.URL.RawPath = callPrefix + request.URL.RawPath
@@ -179,49 +180,49 @@
 	if err != nil {
 		return nil, nil, c.settleFailure(ctx, a, err, connected.Load())
 	}
-	load := parseLoad(answer.Header.Get(headerLoad))
+	load := wire.ParseLoad(answer.Header.Get(wire.HeaderLoad))
 	if answer.Header.Get(port.CodeHeader) != "" {
 		defer answer.Body.Close()
 		return nil, load, port.ReadRefusal(answer)
 	}
-	removeHeaders(answer.Header, hopHeaders, internalHeaders)
+	removeHeaders(answer.Header)
 	return answer, load, nil
 }
 
 // settleFailure finds out whether an attempt without an answer began. Without
 // proof it is answered "may have run".
-func (c *exchange) settleFailure(ctx context.Context, a *attempt, cause error, connected bool) error {
+func (c *exchange) settleFailure(ctx context.Context, a *wire.Attempt, cause error, connected bool) error {
 	if !connected {
-		return result.ConnectFailed.Errorf("node %s: %v", a.target.Node, cause)
+		return result.ConnectFailed.Errorf("node %s: %v", a.Target.Node, cause)
 	}
 	if c.askFenced(a) {
-		return result.Fenced.Errorf("node %s: %v", a.target.Node, cause)
+		return result.Fenced.Errorf("node %s: %v", a.Target.Node, cause)
 	}
 	if ended := endedBy(ctx); ended != nil {
 		return ended
 	}
-	return result.ConnectionLost.Errorf("node %s: %v", a.target.Node, cause)
+	return result.ConnectionLost.Errorf("node %s: %v", a.Target.Node, cause)
 }
 
 // askFenced reports whether the owner node confirmed that the attempt never
 // began and never will. The broken connection has left the client's pool, so
 // that the question travels on a fresh one. After the deadline the owner node
 // may have forgotten the attempt, so there is no proof any more.
-func (c *exchange) askFenced(a *attempt) bool {
-	left := time.Until(a.call.Deadline)
+func (c *exchange) askFenced(a *wire.Attempt) bool {
+	left := time.Until(a.Call.Deadline)
 	if left <= 0 {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), c.settleTimeout)
 	defer cancel()
-	url := "https://" + a.target.PeerAddress + settlePath
+	url := "https://" + a.Target.PeerAddress + settlePath
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
 	if err != nil {
 		return false
 	}
-	request.Header.Set(headerAttempt, string(a.id))
-	request.Header.Set(headerDeadline, strconv.FormatInt(left.Milliseconds(), 10))
-	request.Header.Set(headerIncarnation, strconv.FormatUint(uint64(a.target.Incarnation), 10))
+	request.Header.Set(wire.HeaderAttempt, string(a.ID))
+	request.Header.Set(wire.HeaderDeadline, strconv.FormatInt(left.Milliseconds(), 10))
+	request.Header.Set(wire.HeaderIncarnation, strconv.FormatUint(uint64(a.Target.Incarnation), 10))
 	answer, err := c.Peers.Do(request)
 	if err != nil {
 		return false
--- a/plugins/callforward/owner.go
+++ b/plugins/callforward/owner.go
@@ -16,6 +16,7 @@
 	"teaselring/mesh"
 	"teaselring/port"
 	"teaselring/result"
+	"teaselring/wire"
 )
 
 // owner runs attempts on the upstream beside the node.
@@ -38,20 +39,20 @@
 func (o *owner) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	r.URL.Path = strings.TrimPrefix(r.URL.Path, callPrefix)
 	r.URL.RawPath = strings.TrimPrefix(r.URL.RawPath, callPrefix)
-	a, err := readAttempt(r, time.Now())
+	a, err := wire.ReadAttempt(r, time.Now())
 	if err != nil {
 		port.Refuse(w, err)
 		return
 	}
-	left := time.Until(a.call.Deadline)
-	ctx, patience, cancel := withPatience(r.Context(), a.call.Class, left, left)
+	left := time.Until(a.Call.Deadline)
+	ctx, patience, cancel := withPatience(r.Context(), a.Call.Class, left, left)
 	defer cancel()
 	if r.Body != http.NoBody {
 		r.Body = &trackedBody{ReadCloser: r.Body, patience: patience, touched: new(atomic.Bool)}
 	}
 	answer, load, err := o.run(ctx, a, r)
 	if load := o.load(load); load.Limit > 0 {
-		w.Header().Set(headerLoad, formatLoad(load))
+		w.Header().Set(wire.HeaderLoad, wire.FormatLoad(load))
 	}
 	if err != nil {
 		port.Refuse(w, err)
@@ -73,9 +74,9 @@
 
 // run admits the attempt, claims its key and sends it to the upstream. The
 // slot is released when the answer's body is closed.
-func (o *owner) run(ctx context.Context, a *attempt, r *http.Request) (*http.Response, mesh.Load, error) {
+func (o *owner) run(ctx context.Context, a *wire.Attempt, r *http.Request) (*http.Response, mesh.Load, error) {
 	admitted, err := kernel.Do(ctx, o.in.Admit, port.Admit{
-		Call: a.call, Attempt: a.id, Incarnation: a.target.Incarnation, Version: a.target.Version,
+		Call: a.Call, Attempt: a.ID, Incarnation: a.Target.Incarnation, Version: a.Target.Version,
 	})
 	if err != nil {
 		return nil, mesh.Load{}, beforeStart(ctx, err)
@@ -83,18 +84,18 @@
 	answer, err := o.runAdmitted(ctx, a, r, admitted)
 	if err != nil {
 		e := result.From(err)
-		o.release(port.Released{Attempt: a.id, Shed: e.Code == result.Shed, Lost: e.Code == result.UpstreamLost})
+		o.release(port.Released{Attempt: a.ID, Shed: e.Code == result.Shed, Lost: e.Code == result.UpstreamLost})
 		return nil, admitted.Load, err
 	}
 	answer.Body = &releasingBody{ReadCloser: answer.Body, release: func() {
-		o.release(port.Released{Attempt: a.id, Status: answer.StatusCode})
+		o.release(port.Released{Attempt: a.ID, Status: answer.StatusCode})
 	}}
 	return answer, admitted.Load, nil
 }
 
-func (o *owner) runAdmitted(ctx context.Context, a *attempt, r *http.Request, admitted port.Admitted) (*http.Response, error) {
-	claim := port.Claim{Service: a.call.Service, Caller: a.call.Caller, Key: a.call.Key, Attempt: a.id}
-	claimed := a.call.Class == mesh.ClassOnce && a.call.Key != ""
+func (o *owner) runAdmitted(ctx context.Context, a *wire.Attempt, r *http.Request, admitted port.Admitted) (*http.Response, error) {
+	claim := port.Claim{Service: a.Call.Service, Caller: a.Call.Caller, Key: a.Call.Key, Attempt: a.ID}
+	claimed := a.Call.Class == mesh.ClassOnce && a.Call.Key != ""
 	if claimed {
 		if err := o.claim(ctx, claim); err != nil {
 			return nil, err
@@ -140,25 +141,25 @@
 const settlementTimeout = 500 * time.Millisecond
 
 // send runs the attempt on the upstream. Errors say whether it may have run.
-func (o *owner) send(ctx context.Context, a *attempt, r *http.Request, admitted port.Admitted) (*http.Response, error) {
+func (o *owner) send(ctx context.Context, a *wire.Attempt, r *http.Request, admitted port.Admitted) (*http.Response, error) {
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
 	request := r.Clone(ctx)
-	if !a.call.Idempotent() && request.Body == http.NoBody {
+	if !a.Call.Idempotent() && request.Body == http.NoBody {
 		request.Body = onceOnly{http.NoBody}
 	}
 	request.URL.Scheme = "http"
 	request.URL.Host = admitted.Upstream.String()
 	request.RequestURI = ""
-	removeHeaders(request.Header, hopHeaders, internalHeaders)
-	a.write(request.Header, time.Now())
+	removeHeaders(request.Header)
+	a.Write(request.Header, time.Now())
 	answer, err := o.upstream.RoundTrip(request)
 	if err != nil {
 		return nil, upstreamError(ctx, err, connected.Load())
 	}
-	removeHeaders(answer.Header, hopHeaders, internalHeaders)
+	removeHeaders(answer.Header)
 	if answer.StatusCode == http.StatusServiceUnavailable && answer.Header.Get(headerShed) != "" {
 		answer.Body.Close()
 		return nil, result.Shed.Err()
@@ -209,11 +210,11 @@
 
 // settle answers whether an attempt began on this node and fences it if not.
 func (o *owner) settle(w http.ResponseWriter, r *http.Request) {
-	incarnation, err := strconv.ParseUint(r.Header.Get(headerIncarnation), 10, 64)
-	id := r.Header.Get(headerAttempt)
-	left, leftErr := strconv.ParseInt(r.Header.Get(headerDeadline), 10, 64)
+	incarnation, err := strconv.ParseUint(r.Header.Get(wire.HeaderIncarnation), 10, 64)
+	id := r.Header.Get(wire.HeaderAttempt)
+	left, leftErr := strconv.ParseInt(r.Header.Get(wire.HeaderDeadline), 10, 64)
 	if err != nil || leftErr != nil || id == "" {
-		port.Refuse(w, result.BadRequest.Errorf("headers %s, %s and %s are required", headerAttempt, headerIncarnation, headerDeadline))
+		port.Refuse(w, result.BadRequest.Errorf("headers %s, %s and %s are required", wire.HeaderAttempt, wire.HeaderIncarnation, wire.HeaderDeadline))
 		return
 	}
 	settled, err := kernel.Do(r.Context(), o.in.Settle, port.Settle{
--- /dev/null
+++ b/plugins/callrelay/call.go
@@ -0,0 +1,237 @@
+package callrelay
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"teaselring/kernel"
+	"teaselring/mesh"
+	"teaselring/port"
+	"teaselring/result"
+	"teaselring/wire"
+)
+
+// maxReroutes bounds the owner nodes that one call asks after refusals that did
+// not reach a server.
+const maxReroutes = 6
+
+// call is one request at its entry node, over all its attempts.
+type call struct {
+	*entry
+	request *port.Request
+	route   *mesh.Route
+	version mesh.Version
+	call    mesh.Call
+	id      string
+	began   time.Time
+
+	tried []mesh.NodeID
+	sends int // attempts that may have reached a server
+	// mayHaveRun is the error of an earlier attempt that may have run. A later
+	// refusal must not be answered "not run" then.
+	mayHaveRun error
+	last       mesh.Outcome
+}
+
+// serve runs attempts until one is answered or no other may follow.
+func (c *call) serve(ctx context.Context) (*port.Answer, error) {
+	retried := false
+	for reroutes := 0; ; {
+		answer, outcome, err := c.attempt(ctx, retried)
+		if err == nil {
+			c.report(port.Finished{Outcome: outcome, CallEnded: true})
+			return answer, nil
+		}
+		err = c.truthful(err)
+		if outcome.Target.Node == "" { // no attempt was made
+			c.end(outcome)
+			return nil, err
+		}
+		c.report(port.Finished{Outcome: outcome})
+		switch {
+		case c.request.Rest != nil, ctx.Err() != nil:
+			c.end(outcome)
+			return nil, err
+		case !reachedServer(result.ByNumber(outcome.Code)):
+			if reroutes++; reroutes < maxReroutes {
+				retried = false
+				continue
+			}
+			c.end(outcome)
+			return nil, err
+		}
+		if !c.mayRetry(ctx, outcome) {
+			c.end(outcome)
+			return nil, err
+		}
+		retried = true
+	}
+}
+
+// reachedServer reports whether an attempt with the code may have cost a server
+// something. Refusals of the owner node before that are free to try elsewhere.
+func reachedServer(code *result.Code) bool {
+	return code.Ran != result.NotRun || code == result.Shed
+}
+
+// end releases the caller's place after a call that was not answered.
+func (c *call) end(outcome mesh.Outcome) {
+	if len(c.tried) > 0 {
+		c.report(port.Finished{Outcome: outcome, CallEnded: true, NoAttempt: true})
+	}
+}
+
+// mayRetry asks the router whether another server may be sent the call, and
+// waits as long as it says.
+func (c *call) mayRetry(ctx context.Context, outcome mesh.Outcome) bool {
+	verdict, err := kernel.Do(ctx, c.Retries, port.MayRetry{
+		Call: c.call, Outcome: outcome, Attempts: c.sends, MaxAttempts: c.route.MaxAttempts,
+	})
+	c.Logger.Info().Str("request", c.id).Str("route", string(c.route.ID)).Int("sends", c.sends).Int("code", outcome.Code).
+		Bool("retry", err == nil && verdict.Retry).Str("why", verdict.Why).Msg("retry decided")
+	if err != nil || !verdict.Retry {
+		return false
+	}
+	timer := time.NewTimer(verdict.Wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// attempt picks a target and runs the call there once.
+func (c *call) attempt(ctx context.Context, retried bool) (*port.Answer, mesh.Outcome, error) {
+	outcome := mesh.Outcome{Route: c.call.Route, Caller: c.call.Caller, Class: c.call.Class}
+	target, err := c.pick(ctx, port.Pick{
+		Call: c.call, Tried: c.tried, First: len(c.tried) == 0, Retried: retried, Draw: c.call.Fingerprint ^ uint64(c.began.UnixNano()),
+	})
+	if err != nil {
+		return nil, outcome, err
+	}
+	c.tried = append(c.tried, target.Node)
+	outcome.Target = target
+	began := time.Now()
+	a := &wire.Attempt{ID: mesh.AttemptID(c.id + "/" + strconv.Itoa(len(c.tried))), Call: c.call, Target: target}
+	answer, load, err := c.run(ctx, a)
+	outcome.Duration, outcome.Load = time.Since(began), load
+	describe(&outcome, answer, err)
+	if reachedServer(result.Of(err)) {
+		c.sends++
+	}
+	if err != nil {
+		c.Logger.Info().Str("request", c.id).Str("attempt", string(a.ID)).Str("node", string(target.Node)).
+			Str("version", string(target.Version)).Int("code", outcome.Code).Dur("took", outcome.Duration).Err(err).Msg("attempt failed")
+	}
+	c.last = outcome
+	return answer, outcome, err
+}
+
+func (c *call) run(ctx context.Context, a *wire.Attempt) (*port.Answer, *mesh.Load, error) {
+	if a.Target.Node != c.Identity.Node {
+		return c.runRemote(ctx, a, c.request)
+	}
+	answer, err := c.owner.run(ctx, a, c.request)
+	return answer, c.Load.Load(), err
+}
+
+// describe fills in what the attempt came to.
+func describe(o *mesh.Outcome, answer *port.Answer, err error) {
+	if answer != nil {
+		o.Status = answer.Status
+		o.Failed = answer.Status >= http.StatusInternalServerError
+		return
+	}
+	code := result.Of(err)
+	o.Code = code.Number
+	switch code {
+	case result.Shed, result.QueueFull, result.QueueTimeout, result.ClassLimit:
+		o.Shed = true
+	case result.UpstreamLost:
+		o.Failed = true
+	case result.ConnectFailed, result.ConnectionLost, result.DeadlineDuring, result.Internal:
+		o.Failed = true
+	}
+}
+
+// truthful returns what may be said of the call as a whole, given the error of
+// its last attempt.
+func (c *call) truthful(err error) error {
+	if result.Of(err).Ran != result.NotRun {
+		c.mayHaveRun = err
+	} else if c.mayHaveRun != nil {
+		return c.mayHaveRun
+	}
+	return err
+}
+
+// refusal is the answer to a request that has none of a server.
+func (e *entry) refusal(c *call, err error) *port.Answer {
+	x := result.From(err)
+	a := &port.Answer{Status: refusalStatus(x.Code), Header: http.Header{"Content-Type": {"application/json"}}}
+	a.Held, _ = json.Marshal(port.Refusal{
+		Code: x.Code.Number, Name: x.Code.Name, Ran: x.Code.Ran.String(), Retry: x.Code.Retry.String(),
+		Message: x.Message, Details: x.Details,
+	})
+	a.Length = int64(len(a.Held))
+	a.Header.Set(port.CodeHeader, strconv.Itoa(x.Code.Number))
+	if c.id != "" {
+		a.Header.Set(e.Headers.RequestID, c.id)
+	}
+	if a.Status == http.StatusServiceUnavailable {
+		a.Header.Set("Retry-After", fmt.Sprintf("%.3f", e.retryAfter(c).Seconds()))
+	}
+	return a
+}
+
+// refusalStatus returns the status of a refusal. Callers take 503 for a promise
+// that the request has not run and never will, so it needs proof.
+func refusalStatus(code *result.Code) int {
+	switch {
+	case code == result.NoRoute, code == result.BadRequest, code == result.BodyTooLarge:
+		return code.Status
+	case code.Ran == result.NotRun:
+		return http.StatusServiceUnavailable
+	case code == result.DeadlineDuring:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+const (
+	// retryAfterLeast and retryAfterMost are the parts of the target latency
+	// between which the return of a refused request is spread.
+	retryAfterLeast = 0.1
+	retryAfterMost  = 0.5
+	// retryAfterUnknown stands for the target latency of a request without route.
+	retryAfterUnknown = 500 * time.Millisecond
+)
+
+func (e *entry) retryAfter(c *call) time.Duration {
+	target := retryAfterUnknown
+	if c.route != nil && c.route.Target > 0 {
+		target = c.route.Target
+	}
+	share := retryAfterLeast + (retryAfterMost-retryAfterLeast)*rand.Float64()
+	return time.Duration(share * float64(target))
+}
+
+// log writes the line that ends a call.
+func (c *call) log(answer *port.Answer, err error) {
+	line := c.Logger.Info().Str("request", c.id).Str("route", string(c.route.ID)).Uint64("version", uint64(c.version)).
+		Str("node", string(c.last.Target.Node)).Int("sends", c.sends).Int("picks", len(c.tried)).
+		Dur("took", time.Since(c.request.Arrived))
+	if err != nil {
+		x := result.From(err)
+		line.Int("code", x.Code.Number).Str("ran", x.Code.Ran.String()).Int("status", refusalStatus(x.Code)).Err(err).Msg("call refused")
+		return
+	}
+	line.Int("status", answer.Status).Msg("call answered")
+}
--- /dev/null
+++ b/plugins/callrelay/owner.go
@@ -0,0 +1,210 @@
+package callrelay
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"teaselring/kernel"
+	"teaselring/port"
+	"teaselring/result"
+	"teaselring/wire"
+)
+
+const (
+	// answerMargin is left of an attempt's time for the answer's way back, so that
+	// a server's own answer at its deadline arrives before the caller's.
+	answerMargin = 15 * time.Millisecond
+	// releaseTimeout is far above the time that the slots duty needs for a full ring.
+	releaseTimeout = 10 * time.Second
+	// acceptWhileStopping is the time after the signal to stop in which calls of
+	// other nodes are still taken. After it the way of a call and the longest
+	// usual work fit into the rest of the grace.
+	acceptWhileStopping = time.Second
+)
+
+// owner runs attempts on the server beside the node.
+type owner struct {
+	*relayIn
+	pool  *pool
+	calls *atomic.Int64 // in progress at this node
+}
+
+// ServeHTTP runs an attempt that another node sent.
+func (o *owner) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	o.calls.Add(1)
+	defer o.calls.Add(-1)
+	now := time.Now()
+	o.hint(r.Header)
+	a, err := wire.ReadAttempt(r, now)
+	if err == nil && o.Grace.StoppingFor() > acceptWhileStopping {
+		err = result.Draining.Errorf("the node is stopping")
+	}
+	var answer *port.Answer
+	if err == nil {
+		ctx, cancel := context.WithDeadline(r.Context(), a.Call.Deadline)
+		defer cancel()
+		body := &port.Request{Request: r, Length: r.ContentLength, Arrived: now}
+		if r.ContentLength != 0 {
+			body.Rest = r.Body
+		}
+		answer, err = o.run(ctx, a, body)
+	}
+	h := w.Header()
+	if load := o.Load.Load(); load != nil {
+		h.Set(wire.HeaderLoad, wire.FormatLoad(*load))
+	}
+	h.Set(port.SeenHeader, port.FormatSeen(o.Rows.Load().Seen()))
+	if err != nil {
+		port.Refuse(w, err)
+		return
+	}
+	writeAnswer(w, answer)
+}
+
+// run admits the attempt and sends it to the server. The slot is released when
+// the answer is complete or closed.
+func (o *owner) run(ctx context.Context, a *wire.Attempt, body *port.Request) (*port.Answer, error) {
+	admitted, err := kernel.Do(ctx, o.Admit, port.Admit{
+		Call: a.Call, Attempt: a.ID, Incarnation: a.Target.Incarnation, Version: a.Target.Version,
+	})
+	if err != nil {
+		if result.Of(err) == result.Stopped && ctx.Err() != nil {
+			err = result.QueueTimeout.Errorf("the call ended while it waited for a slot")
+		}
+		return nil, err
+	}
+	answer, err := o.send(ctx, a, body, admitted)
+	released := port.Released{Attempt: a.ID}
+	if err != nil {
+		code := result.Of(err)
+		released.Shed, released.Lost = code == result.Shed, code == result.UpstreamLost
+		o.release(released)
+		return nil, err
+	}
+	released.Status = answer.Status
+	if answer.Rest == nil {
+		o.release(released)
+		return answer, nil
+	}
+	answer.Rest = &closing{ReadCloser: answer.Rest, stop: func() bool { o.release(released); return true }}
+	return answer, nil
+}
+
+func (o *owner) release(released port.Released) {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	if err := o.Release.Send(ctx, released); err != nil {
+		o.Logger.Error().Str("request", string(released.Attempt)).Err(err).Msg("slot not released")
+	}
+}
+
+// send runs the attempt on the server.
+func (o *owner) send(ctx context.Context, a *wire.Attempt, body *port.Request, to port.Admitted) (*port.Answer, error) {
+	request := outgoing(body.Request)
+	h := request.Header
+	id := h.Get(o.Headers.RequestID)
+	h.Set(o.Headers.DeadlineMS, wire.FormatLeft(a.Call.Deadline, time.Now().Add(answerMargin)))
+	h.Set(o.Headers.Caller, string(a.Call.Caller))
+	h.Del(o.Headers.Expect)
+	if to.Instance != "" {
+		h.Set(o.Headers.Expect, to.Instance)
+	}
+	x := &exchange{
+		pool: o.pool, address: to.Upstream.String(), request: request, body: body, kept: keepAlive,
+		matches: func(r *http.Response) bool {
+			echo := r.Header.Get(o.Headers.RequestID)
+			return echo == id || echo == ""
+		},
+	}
+	answer, err := x.run(ctx)
+	if result.Of(err) == result.ConnectionLost {
+		err = result.UpstreamLost.Errorf("%v", err)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if err := o.judge(answer, id); err != nil {
+		if answer.Rest != nil {
+			_ = answer.Rest.Close()
+		}
+		return nil, err
+	}
+	return answer, nil
+}
+
+// judge decides what a server's answer is worth: an answer to the request, its
+// statement that the request did not run, or neither.
+func (o *owner) judge(a *port.Answer, id string) error {
+	h := a.Header
+	if h.Get(o.Headers.NotRun) != "" {
+		return result.Shed.Errorf("the server answered %d and did not run the request", a.Status)
+	}
+	success := a.Status >= 200 && a.Status < 300
+	switch {
+	case a.Status == http.StatusMisdirectedRequest:
+		return result.Draining.Errorf("another server has the address: %s", h.Get(o.Headers.Instance))
+	case success && (h.Get(o.Headers.Signature) == "" || h.Get(o.Headers.RequestID) != id):
+		return result.UpstreamLost.Errorf("an answer %d without signature or request id", a.Status)
+	case h.Get("Content-Encoding") != "":
+		return result.UpstreamLost.Errorf("an encoded answer %d", a.Status)
+	case promises(a.Status):
+		return result.UpstreamLost.Errorf("an answer %d without the statement that the request did not run", a.Status)
+	}
+	return nil
+}
+
+// promises reports whether a caller takes the status for a promise that the
+// request has not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// outgoing returns the request to send on, without what concerns one connection
+// or the nodes only.
+func outgoing(r *http.Request) *http.Request {
+	h := r.Header.Clone()
+	wire.RemoveHopHeaders(h)
+	for name := range h {
+		if strings.HasPrefix(name, nodeHeaders) {
+			delete(h, name)
+		}
+	}
+	h.Del("Expect")
+	if _, given := h["User-Agent"]; !given {
+		h["User-Agent"] = nil // keeps net/http from adding its own
+	}
+	return &http.Request{Method: r.Method, URL: r.URL, Host: r.Host, Header: h, ProtoMajor: 1, ProtoMinor: 1}
+}
+
+// nodeHeaders begins the names of all headers between nodes.
+const nodeHeaders = "Teasel-"
+
+// writeAnswer sends an answer to another node. A body that breaks off aborts
+// the connection, so that a part is never taken for the whole.
+func writeAnswer(w http.ResponseWriter, a *port.Answer) {
+	h := w.Header()
+	for name, values := range a.Header {
+		h[name] = values
+	}
+	wire.RemoveHopHeaders(h)
+	if a.Length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(a.Length, 10))
+	}
+	w.WriteHeader(a.Status)
+	_, err := w.Write(a.Held)
+	if a.Rest != nil {
+		defer func() { _ = a.Rest.Close() }()
+		err = copyRest(w, a)
+	}
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/plugins/callrelay/setup.go
@@ -0,0 +1,86 @@
+// Package callrelay is the plug-in "call.relay": the path of a call from its
+// entry node to the owner node and on to the server. It carries out what the
+// router and slots duties decide and owns which bytes were sent where.
+package callrelay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/phuslu/log"
+	"go.uber.org/fx"
+
+	"teaselring/kernel"
+	"teaselring/mesh"
+	"teaselring/port"
+	"teaselring/wire"
+)
+
+// relayIn is what both ends of the path use.
+type relayIn struct {
+	fx.In
+	Identity mesh.Identity
+	Site     *port.Site
+	Headers  port.CallHeaders
+	Snapshot *port.SnapshotCell
+	Rows     *port.RowsCell
+	Hints    *port.RowsHintRing
+	View     *port.ViewCell
+	Picks    *port.PickRing
+	Outcomes *port.OutcomeRing
+	Retries  *port.RetryRing
+	Admit    *port.AdmitRing
+	Release  *port.ReleaseRing
+	Load     *port.LoadCell
+	Grace    *kernel.Grace
+	Logger   *log.Logger
+}
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name: "call.relay",
+		Doc:  "Carries calls from entry nodes to owner nodes and from owner nodes to servers.",
+		Module: func(kernel.Validator) fx.Option {
+			return fx.Options(
+				fx.Provide(
+					func(in relayIn) *owner { return &owner{relayIn: &in, pool: newPool(), calls: new(atomic.Int64)} },
+					func(in relayIn, o *owner) *entry { return &entry{relayIn: &in, owner: o, pool: newPool()} },
+					func(e *entry) port.CallPath { return e.serve },
+					func(o *owner) port.CallsInProgress { return o.calls.Load },
+				),
+				port.ProvideInboundRoute(func(o *owner) port.InboundRoute { return port.InboundRoute{Handler: o} }),
+			)
+		},
+	})
+}
+
+// hint passes on that another node knows newer rows. The target of the call
+// back is the sender's inbound edge, which the view knows.
+func (in *relayIn) hint(h http.Header) {
+	view := in.View.Load()
+	if view == nil {
+		return
+	}
+	if m := view.Member(mesh.NodeID(h.Get(wire.HeaderEntry))); m != nil {
+		in.hintFrom(h, m.PeerAddress)
+	}
+}
+
+func (in *relayIn) hintFrom(h http.Header, peer string) {
+	text := h.Get(port.SeenHeader)
+	h.Del(port.SeenHeader)
+	if text == "" {
+		return
+	}
+	if seen := port.ParseSeen(text); in.Rows.Load().Seen().Behind(seen) {
+		_ = in.Hints.Send(context.Background(), port.RowsHint{Peer: peer, Seen: seen}) // replaces the oldest, never fails
+	}
+}
+
+// copyRest passes on what is left of a long answer.
+func copyRest(w http.ResponseWriter, a *port.Answer) error {
+	_, err := io.Copy(w, a.Rest)
+	return err
+}
--- a/plugins/callrouter/router.go
+++ b/plugins/callrouter/router.go
@@ -119,7 +119,7 @@
 		return result.DeadlineBefore.Err()
 	}
 	id := q.Call.Caller
-	c := d.caller(id)
+	c := d.caller(&q.Call)
 	if q.First {
 		if err := d.callers.Acquire(id, c.inFlight); err != nil {
 			return err
@@ -137,7 +137,7 @@
 
 func (d *duty) unreserve(q *port.Pick, now time.Time) {
 	if q.Retried {
-		d.budgets.Refund(d.caller(q.Call.Caller).account, now)
+		d.budgets.Refund(d.caller(&q.Call).account, now)
 	}
 	if q.First {
 		d.callers.Release(q.Call.Caller)
@@ -153,10 +153,13 @@
 
 // caller returns the limits of the caller's record. Callers without a record
 // share one retry budget, so that new names do not bring new retries.
-func (d *duty) caller(id mesh.CallerID) caller {
+func (d *duty) caller(call *mesh.Call) caller {
 	if snapshot := d.in.Snapshot.Load(); snapshot != nil {
-		if record, declared := snapshot.Callers[id]; declared {
-			return caller{record.InFlight, id, record.RetryPercent}
+		if snapshot.RetryByService {
+			return caller{account: mesh.CallerID(call.Service), percent: retry.DefaultPercent}
+		}
+		if record, declared := snapshot.Callers[call.Caller]; declared {
+			return caller{record.InFlight, call.Caller, record.RetryPercent}
 		}
 	}
 	return caller{account: "", percent: retry.DefaultPercent}
@@ -191,11 +194,12 @@
 
 func (d *duty) judge(ask kernel.Ask[port.MayRetry, port.RetryVerdict], now time.Time) {
 	q := &ask.Query
-	c := d.caller(q.Call.Caller)
+	c := d.caller(&q.Call)
 	v := d.policy.Judge(&retry.Attempt{
 		Call: &q.Call, Outcome: &q.Outcome, Made: q.Attempts,
 		RetriedBelow: q.RetriedBelow, RetriedAbove: q.RetriedAbove,
 		Expected: d.router.Expected(q.Call.Service), Account: c.account, Percent: c.percent,
+		MaxAttempts: q.MaxAttempts,
 	}, d.budgets, d.rnd.Float64(), now)
 	if v.Retry {
 		d.retried.Inc(1)
--- a/plugins/callslots/slots.go
+++ b/plugins/callslots/slots.go
@@ -147,7 +147,10 @@
 // enqueue puts the attempt into the queue. When there is no place it first
 // drops the waiters whose askers have left.
 func (d *duty) enqueue(q *port.Admit, now time.Time) error {
-	request := limit.Request{Attempt: q.Attempt, Class: q.Call.Class, Deadline: q.Call.Deadline}
+	request := limit.Request{
+		Attempt: q.Attempt, Class: q.Call.Class, Deadline: q.Call.Deadline, StartBy: q.Call.StartBy,
+		Priority: q.Call.Priority, Ranked: q.Call.Ranked,
+	}
 	evicted, err := d.slots.Enqueue(request, now)
 	if err != nil && d.prune() {
 		evicted, err = d.slots.Enqueue(request, now)
@@ -208,7 +211,8 @@
 		return false
 	}
 	admitted := port.Admitted{
-		Upstream: d.upstream.local.Address, Process: d.upstream.local.Endpoint.Process, Load: d.slots.Load(),
+		Upstream: d.upstream.local.Address, Process: d.upstream.local.Endpoint.Process,
+		Instance: d.upstream.local.Endpoint.Instance, Load: d.slots.Load(),
 	}
 	if !a.ask.Answer(admitted) {
 		d.drop(id, result.CallerGone.Err())
--- /dev/null
+++ b/plugins/configrows/setup.go
@@ -0,0 +1,141 @@
+// Package configrows is the plug-in "config.rows": it puts the operator's newest
+// configuration into force and keeps the orders to move services.
+package configrows
+
+import (
+	"context"
+
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+
+	"teaselring/decision/replica"
+	"teaselring/kernel"
+	"teaselring/mesh"
+	"teaselring/port"
+	"teaselring/result"
+)
+
+const wakeRing = "config.rows"
+
+// wake is the ring of this plug-in's duty.
+type wake struct {
+	ring *kernel.Ring[port.RowsChanged]
+}
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name: "config.rows",
+		Doc:  "Puts the operator's newest configuration into force.",
+		Module: func(kernel.Validator) fx.Option {
+			return fx.Options(
+				fx.Provide(
+					func() *port.SnapshotCell { return new(port.SnapshotCell) },
+					func() *port.OrdersCell { return new(port.OrdersCell) },
+				),
+				port.ProvideRowsSubscriber(wakeRing, func(r *kernel.Ring[port.RowsChanged]) wake { return wake{r} }),
+				kernel.ProvideDuty(newDuty),
+				port.ProvideReadyCheck(func(s *port.SnapshotCell) port.ReadyCheck {
+					return port.ReadyCheck{Name: "configuration", Check: func() error {
+						if s.Load() == nil {
+							return result.NoConfiguration.Err()
+						}
+						return nil
+					}}
+				}),
+			)
+		},
+	})
+}
+
+type dutyIn struct {
+	fx.In
+	Wake     wake
+	Rows     *port.RowsCell
+	Table    port.OperatorTable
+	Operator port.OperatorRows
+	Snapshot *port.SnapshotCell
+	Orders   *port.OrdersCell
+	Logger   *log.Logger
+	Metrics  metrics.Registry
+}
+
+// duty owns the snapshot in force and the orders.
+type duty struct {
+	dutyIn
+	decoded map[string]uint64 // revision of each row that was looked at
+	version metrics.Gauge
+}
+
+func newDuty(in dutyIn) kernel.Duty {
+	d := &duty{
+		dutyIn: in, decoded: map[string]uint64{},
+		version: metrics.NewRegisteredGauge("config.version", in.Metrics),
+	}
+	return kernel.Duty{
+		Name: "config", Owns: "the configuration in force, the operator's orders",
+		In: []string{wakeRing}, Run: d.run,
+	}
+}
+
+func (d *duty) run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-d.Wake.ring.C():
+			d.Rows.Load().Each(string(d.Table), d.row)
+		}
+	}
+}
+
+// row takes over a row of the operator if it is new.
+func (d *duty) row(r replica.Row) {
+	if r.Revision <= d.decoded[r.Key] {
+		return
+	}
+	d.decoded[r.Key] = r.Revision
+	if s, ok, err := d.Operator.Snapshot(r.Key, r.Value); ok {
+		d.apply(&r, s, err)
+		return
+	}
+	if o, ok, err := d.Operator.Order(r.Key, r.Value); ok {
+		d.order(&r, o, err)
+	}
+}
+
+// apply puts a configuration into force if it is whole and newer. Otherwise the
+// last one stays.
+func (d *duty) apply(r *replica.Row, s *mesh.Snapshot, err error) {
+	held := d.Snapshot.Load()
+	switch {
+	case err != nil:
+		d.Logger.Error().Uint64("revision", r.Revision).Err(err).Msg("configuration refused")
+		return
+	case held != nil && s.Version <= held.Version:
+		d.Logger.Warn().Uint64("version", uint64(s.Version)).Uint64("in_force", uint64(held.Version)).Msg("older configuration ignored")
+		return
+	}
+	d.Snapshot.Store(s)
+	d.version.Update(int64(s.Version))
+	d.Logger.Info().Uint64("version", uint64(s.Version)).Uint64("revision", r.Revision).
+		Int("routes", len(s.Routes)).Int("services", len(s.Services)).Msg("configuration in force")
+}
+
+func (d *duty) order(r *replica.Row, o mesh.Order, err error) {
+	if err != nil {
+		d.Logger.Error().Str("key", r.Key).Err(err).Msg("order refused")
+		return
+	}
+	o.Revision = r.Revision
+	next := &port.Orders{ByService: map[mesh.ServiceID]mesh.Order{}}
+	if held := d.Orders.Load(); held != nil {
+		for id, other := range held.ByService {
+			next.ByService[id] = other
+		}
+	}
+	next.ByService[o.Service] = o
+	d.Orders.Store(next)
+	d.Logger.Info().Str("service", string(o.Service)).Str("target", string(o.Target)).
+		Dur("duration", o.Duration).Uint64("revision", r.Revision).Msg("order received")
+}
--- /dev/null
+++ b/plugins/edgeinbound/setup.go
@@ -0,0 +1,71 @@
+// Package edgeinbound is the plug-in "edge.inbound": the HTTP listener for other
+// nodes. It decides nothing.
+package edgeinbound
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/phuslu/log"
+	"go.uber.org/fx"
+
+	"teaselring/kernel"
+	"teaselring/port"
+	"teaselring/wire"
+)
+
+const (
+	// headerTimeout is the time for a request's headers to arrive.
+	headerTimeout = 5 * time.Second
+	// idleTimeout is longer than the time for which nodes keep a connection.
+	idleTimeout = 30 * time.Second
+)
+
+type edgeIn struct {
+	fx.In
+	Site   *port.Site
+	Routes []port.InboundRoute `group:"inbound_routes"`
+	Logger *log.Logger
+}
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name: "edge.inbound",
+		Doc:  "Takes calls and questions of other nodes.",
+		Module: func(kernel.Validator) fx.Option {
+			return fx.Invoke(func(lc fx.Lifecycle, in edgeIn) {
+				lc.Append(fx.StartHook(in.start))
+			})
+		},
+	})
+}
+
+// ServeHTTP sends a request that carries an attempt to the call path, whatever
+// its path is, and others by their path.
+func (e *edgeIn) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	isCall := r.Header.Get(wire.HeaderAttempt) != ""
+	for _, route := range e.Routes {
+		if (isCall && route.Path == "") || (!isCall && route.Path == r.URL.Path) {
+			route.Handler.ServeHTTP(w, r)
+			return
+		}
+	}
+	http.NotFound(w, r)
+}
+
+// start serves until the process ends: calls of other nodes end with it.
+func (e *edgeIn) start() error {
+	socket, err := net.Listen("tcp", e.Site.Inbound.String())
+	if err != nil {
+		return err
+	}
+	e.Logger.Info().Str("edge", "inbound").Str("address", e.Site.Inbound.String()).Msg("listening")
+	server := &http.Server{Handler: e, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	go func() {
+		if err := server.Serve(socket); err != nil && err != http.ErrServerClosed {
+			e.Logger.Error().Str("edge", "inbound").Err(err).Msg("listener failed")
+		}
+	}()
+	return nil
+}
--- /dev/null
+++ b/plugins/edgeoutbound/setup.go
@@ -0,0 +1,156 @@
+// Package edgeoutbound is the plug-in "edge.outbound": the HTTP/1.1 listener for
+// the clients and the server of the machine. net/http parses requests and writes
+// answers; the edge runs the connection itself, because it must know when each
+// of several requests on a connection arrived, answer them in order, and notice
+// that a client has left while requests of it wait.
+package edgeoutbound
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+	"golang.org/x/net/netutil"
+
+	"teaselring/kernel"
+	"teaselring/mesh"
+	"teaselring/port"
+)
+
+const (
+	// maxConnections leaves half of the descriptors of the smallest machine (4,100)
+	// to connections to nodes and servers.
+	maxConnections = 2000
+
+	// Limits used before a configuration states them.
+	defaultHeaderBytes   = 16 << 10
+	defaultBodyBytes     = 64 << 20
+	defaultHeaderTimeout = 3 * time.Second
+	defaultIdleTimeout   = 15 * time.Second
+
+	// stayAfterStop is the time after the signal to stop in which new requests are
+	// served: the platform asks once a second and takes a machine out after two
+	// answers that it is not ready.
+	stayAfterStop = 2300 * time.Millisecond
+	// quietBeforeEnd is the time without a request after which a stopping node ends.
+	quietBeforeEnd = 200 * time.Millisecond
+	// endMargin is left of the grace for the last answers' way.
+	endMargin = 400 * time.Millisecond
+	pollStop  = 50 * time.Millisecond
+)
+
+type edgeIn struct {
+	fx.In
+	Site     *port.Site
+	Path     port.CallPath
+	Calls    port.CallsInProgress
+	Snapshot *port.SnapshotCell
+	Grace    *kernel.Grace
+	Logger   *log.Logger
+	Metrics  metrics.Registry
+}
+
+type edge struct {
+	edgeIn
+	socket net.Listener
+
+	connections, requests metrics.Counter
+	latency               metrics.Histogram
+}
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name: "edge.outbound",
+		Doc:  "Takes the requests of the clients and the server of the machine.",
+		Module: func(kernel.Validator) fx.Option {
+			return fx.Invoke(func(lc fx.Lifecycle, in edgeIn) {
+				e := &edge{
+					edgeIn:      in,
+					connections: metrics.NewRegisteredCounter("outbound.connections", in.Metrics),
+					requests:    metrics.NewRegisteredCounter("outbound.requests", in.Metrics),
+					latency:     metrics.NewRegisteredHistogram("outbound.latency_ms", in.Metrics, metrics.NewExpDecaySample(1028, 0.015)),
+				}
+				lc.Append(fx.StartHook(e.start))
+				in.Grace.Drain(e.drain)
+			})
+		},
+	})
+}
+
+func (e *edge) start() error {
+	socket, err := net.Listen("tcp", e.Site.Outbound.String())
+	if err != nil {
+		return err
+	}
+	e.socket = socket
+	e.Logger.Info().Str("edge", "outbound").Str("address", e.Site.Outbound.String()).Msg("listening")
+	go e.accept(netutil.LimitListener(socket, maxConnections))
+	return nil
+}
+
+func (e *edge) accept(socket net.Listener) {
+	for {
+		conn, err := socket.Accept()
+		if err != nil {
+			if !e.Grace.Stopping() {
+				e.Logger.Error().Err(err).Msg("outbound listener failed")
+			}
+			return
+		}
+		e.connections.Inc(1)
+		go newClient(e, conn).run()
+	}
+}
+
+// drain keeps serving until clients have been sent elsewhere and the calls in
+// progress, those of other nodes included, have ended.
+func (e *edge) drain(over context.Context) {
+	ticker := time.NewTicker(pollStop)
+	defer ticker.Stop()
+	end := e.Site.Grace - endMargin
+	quiet := time.Now()
+	for {
+		select {
+		case <-over.Done():
+			return
+		case <-ticker.C:
+		}
+		if e.Calls() > 0 {
+			quiet = time.Now()
+		}
+		stopped := e.Grace.StoppingFor()
+		if stopped >= end || (stopped >= stayAfterStop && time.Since(quiet) >= quietBeforeEnd) {
+			_ = e.socket.Close()
+			e.Logger.Info().Dur("after", stopped).Int64("calls", e.Calls()).Msg("stopped serving")
+			return
+		}
+	}
+}
+
+// limits returns the limits of the configuration in force.
+func (e *edge) limits() mesh.EdgeLimits {
+	l := mesh.EdgeLimits{
+		HeaderBytes: defaultHeaderBytes, BodyBytes: defaultBodyBytes,
+		HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
+	}
+	s := e.Snapshot.Load()
+	if s == nil {
+		return l
+	}
+	if s.Limits.HeaderBytes > 0 {
+		l.HeaderBytes = s.Limits.HeaderBytes
+	}
+	if s.Limits.BodyBytes > 0 {
+		l.BodyBytes = s.Limits.BodyBytes
+	}
+	if s.Limits.HeaderTimeout > 0 {
+		l.HeaderTimeout = s.Limits.HeaderTimeout
+	}
+	if s.Limits.IdleTimeout > 0 {
+		l.IdleTimeout = s.Limits.IdleTimeout
+	}
+	return l
+}
--- a/port/calls.go
+++ b/port/calls.go
@@ -44,6 +44,7 @@
 	Call         mesh.Call
 	Outcome      mesh.Outcome
 	Attempts     int  // made so far, at least 1
+	MaxAttempts  int  // of the call's route; 0: the policy's
 	RetriedBelow bool // the answer carried Teasel-Retried
 	RetriedAbove bool // the caller's request carried Teasel-Retried
 }
@@ -75,6 +76,7 @@
 type Admitted struct {
 	Upstream netip.AddrPort
 	Process  string // life of the upstream that the attempt was admitted for
+	Instance string // id that the upstream answers to; empty: none
 	Load     mesh.Load
 }
 
--- a/port/members.go
+++ b/port/members.go
@@ -54,3 +54,7 @@
 
 // AnnounceAddress is a loopback IP:port.
 type AnnounceAddress struct{ netip.AddrPort }
+
+// SelfRing leads from the announce duty to the members duty of a node that is
+// known by its row. A newer state replaces an older one.
+type SelfRing = kernel.Ring[mesh.Member]
--- /dev/null
+++ b/port/rows.go
@@ -0,0 +1,122 @@
+package port
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.uber.org/fx"
+
+	"teaselring/decision/replica"
+	"teaselring/kernel"
+)
+
+// Changes is what the platform says about one table.
+type Changes struct {
+	Rows     []replica.Row
+	Revision uint64        // up to which the rows are complete
+	Clock    time.Duration // the platform's steady clock
+}
+
+// Feed lists and follows the platform's tables. Every call is bounded by its
+// context.
+//
+// Errors: result.PlatformDown (nothing written), result.PlatformUnknown (a write
+// may have taken effect, also later), result.PlatformLimit, result.RowConflict,
+// result.HistoryGone.
+type Feed interface {
+	// List returns all rows of a table as of one moment.
+	List(ctx context.Context, table string) (Changes, error)
+	// Follow waits for changes after a revision. It returns none when there
+	// were none for the time of wait.
+	Follow(ctx context.Context, table string, after uint64, wait time.Duration) (Changes, error)
+	// Write commits a transaction and returns its revision and the platform's clock.
+	Write(ctx context.Context, txn Txn) (Changes, error)
+}
+
+// OperatorTable is the name of the platform's table of the operator's rows.
+type OperatorTable string
+
+// NodeTable is the platform table of the nodes' own rows.
+const NodeTable = "teaselring"
+
+// Prefixes of the keys in NodeTable.
+const (
+	NodeRowPrefix    = "node/"
+	RolloutRowPrefix = "rollout/"
+)
+
+// RowsCell holds the node's copy of the rows. Its owner is the replica duty.
+type RowsCell = kernel.Cell[replica.Set]
+
+// RowsChanged wakes a duty that reads RowsCell.
+type RowsChanged struct{}
+
+// RowsSubscriber is a ring that gets an item after each change of RowsCell. Its
+// capacity is 1 and it replaces the oldest item.
+type RowsSubscriber struct{ Ring *kernel.Ring[RowsChanged] }
+
+// RowsHint says that another node knows newer rows.
+type RowsHint struct {
+	Peer string // IP:port of its inbound edge
+	Seen replica.Seen
+}
+
+// RowsHintRing leads from the call path to the sync duty. A lost hint comes
+// again with the next call.
+type RowsHintRing = kernel.Ring[RowsHint]
+
+// Clock reads the platform's steady clock from the local one.
+type Clock struct {
+	At    time.Time     // local time of the reading
+	Clock time.Duration // the platform's clock then
+}
+
+// Now returns the platform's clock at a local time.
+func (c *Clock) Now(local time.Time) time.Duration { return c.Clock + local.Sub(c.At) }
+
+// ClockCell is owned by the replica duty; nil before the first answer.
+type ClockCell = kernel.Cell[Clock]
+
+// SeenHeader carries the newest revisions that a node knows, on the calls that
+// nodes exchange.
+const SeenHeader = "Teasel-Seen"
+
+// FormatSeen encodes revisions as "table=revision" joined by commas.
+func FormatSeen(seen replica.Seen) string {
+	tables := slices.Sorted(maps.Keys(seen))
+	parts := make([]string, len(tables))
+	for i, table := range tables {
+		parts[i] = table + "=" + strconv.FormatUint(seen[table], 10)
+	}
+	return strings.Join(parts, ",")
+}
+
+// ParseSeen decodes what FormatSeen wrote. Parts that can't be read are left
+// out: they only delay what the next call tells again.
+func ParseSeen(text string) replica.Seen {
+	seen := replica.Seen{}
+	for _, part := range strings.Split(text, ",") {
+		table, number, _ := strings.Cut(part, "=")
+		if revision, err := strconv.ParseUint(number, 10, 64); err == nil {
+			seen[table] = revision
+		}
+	}
+	return seen
+}
+
+// ProvideRowsSubscriber provides a ring of that name, wrapped into the
+// subscriber's own type, and has the replica duty send to it.
+func ProvideRowsSubscriber[W any](name string, wrap func(*kernel.Ring[RowsChanged]) W) fx.Option {
+	var ring *kernel.Ring[RowsChanged]
+	return fx.Options(
+		kernel.ProvideWrappedRing(name, 1, kernel.ReplaceOldest, func(r *kernel.Ring[RowsChanged]) W {
+			ring = r
+			return wrap(r)
+		}),
+		fx.Provide(fx.Annotate(func(W) RowsSubscriber { return RowsSubscriber{Ring: ring} }, fx.ResultTags(`group:"rows_subscribers"`))),
+	)
+}
--- a/result/code.go
+++ b/result/code.go
@@ -109,6 +109,7 @@
 	PlatformUnknown = define(5002, "platform_unknown", NotACall, RetrySafe, 503, "The platform's answer was lost; the write may have taken effect.")
 	PlatformLimit   = define(5003, "platform_limit", NotACall, RetrySafe, 429, "The platform refused the request because of its rate limit.")
 	RowConflict     = define(5004, "row_conflict", NotACall, RetryAfterChange, 409, "A row changed since it was read.")
+	HistoryGone     = define(5006, "history_gone", NotACall, RetryAfterChange, 410, "The platform no longer has the changes since the revision asked for.")
 	ObjectMissing   = define(5005, "object_missing", NotACall, RetrySafe, 404, "The object store does not have the object.")
 
 	SettingUnknown = define(6001, "setting_unknown", NotACall, RetryAfterChange, 400, "A settings file has an unknown key.")
