--- /dev/null
+++ b/decision/rollout/evidence.go
@@ -0,0 +1,205 @@
+package rollout
+
+import (
+	"fmt"
+	"time"
+
+	"teaselring/mesh"
+	"teaselring/result"
+)
+
+const (
+	// windowSpan is the time over which a fault is looked for: a version that
+	// turns bad late must not hide behind its good start.
+	windowSpan = 3 * time.Second
+	slotSpan   = 500 * time.Millisecond
+
+	// A version fails when at least leastFailures of its calls on a route failed
+	// and their share exceeds twice that of the old version by excessFailures.
+	leastFailures  = 3
+	excessFailures = 0.1
+
+	// A version is slow when the mean time of at least leastSlow calls on a route is
+	// slowFactor times that of the old version. Servers differ in speed by up to 3
+	// to 1.
+	leastSlow  = 8
+	slowFactor = 3.5
+
+	// coldSpan is the time after a server was first seen in which its answers may
+	// be slow because it has just started.
+	coldSpan = 4 * time.Second
+)
+
+// Counts are what the calls of both versions on one route came to.
+type Counts struct {
+	Route mesh.RouteID `cbor:"1,keyasint"`
+	Old   Count        `cbor:"2,keyasint"`
+	New   Count        `cbor:"3,keyasint"`
+}
+
+// Count is what the calls of one version came to.
+type Count struct {
+	Calls    uint32        `cbor:"1,keyasint"`
+	Failures uint32        `cbor:"2,keyasint"`
+	Warm     uint32        `cbor:"3,keyasint"` // answered calls of servers that have been up for a while
+	Time     time.Duration `cbor:"4,keyasint"` // of the warm calls
+}
+
+func (c *Count) add(o *Count) {
+	c.Calls += o.Calls
+	c.Failures += o.Failures
+	c.Warm += o.Warm
+	c.Time += o.Time
+}
+
+func (c *Count) failed() float64 {
+	if c.Calls == 0 {
+		return 0
+	}
+	return float64(c.Failures) / float64(c.Calls)
+}
+
+func (c *Count) mean() time.Duration {
+	if c.Warm == 0 {
+		return 0
+	}
+	return c.Time / time.Duration(c.Warm)
+}
+
+// Evidence gathers counts over a sliding window. It is not safe for concurrent use.
+type Evidence struct {
+	slots []slot
+	seen  map[string]time.Time // first sight of each server of either version
+}
+
+type slot struct {
+	at     time.Time
+	routes map[mesh.RouteID]*Counts
+}
+
+// NewEvidence returns empty evidence.
+func NewEvidence() *Evidence { return &Evidence{seen: map[string]time.Time{}} }
+
+// Observe counts the outcome of a call, if it says something about a version.
+func (e *Evidence) Observe(r *mesh.Rollout, o *mesh.Outcome, now time.Time) {
+	if o.Target.Service != r.Service || !telling(o) {
+		return
+	}
+	c := e.route(o.Route, now)
+	count := &c.Old
+	switch o.Target.Version {
+	case r.New:
+		count = &c.New
+	case r.Old:
+	default:
+		return
+	}
+	count.Calls++
+	if o.Failed {
+		count.Failures++
+		return
+	}
+	server := fmt.Sprintf("%s/%d", o.Target.Node, o.Target.Incarnation)
+	first, known := e.seen[server]
+	if !known {
+		first = now
+		e.seen[server] = now
+	}
+	if now.Sub(first) >= coldSpan || count == &c.Old {
+		count.Warm++
+		count.Time += o.Duration
+	}
+}
+
+// telling reports whether an outcome is the server's doing. A refusal before the
+// server, a node that broke off and a caller that left are not.
+func telling(o *mesh.Outcome) bool {
+	if o.Code == 0 {
+		return !o.Shed
+	}
+	return o.Code == result.UpstreamLost.Number || o.Code == result.DeadlineDuring.Number
+}
+
+// Add counts what another node observed.
+func (e *Evidence) Add(routes []Counts, now time.Time) {
+	for i := range routes {
+		c := e.route(routes[i].Route, now)
+		c.Old.add(&routes[i].Old)
+		c.New.add(&routes[i].New)
+	}
+}
+
+func (e *Evidence) route(id mesh.RouteID, now time.Time) *Counts {
+	n := len(e.slots)
+	if n == 0 || now.Sub(e.slots[n-1].at) >= slotSpan {
+		e.slots = append(e.slots, slot{at: now, routes: map[mesh.RouteID]*Counts{}})
+		n++
+	}
+	for len(e.slots) > 1 && now.Sub(e.slots[0].at) > windowSpan {
+		e.slots = e.slots[1:]
+	}
+	routes := e.slots[len(e.slots)-1].routes
+	if routes[id] == nil {
+		routes[id] = &Counts{Route: id}
+	}
+	return routes[id]
+}
+
+// Bad returns why the new version is bad, or "" while nothing shows that it is.
+func (e *Evidence) Bad(now time.Time) string {
+	all, sums := &Counts{}, map[mesh.RouteID]*Counts{}
+	for _, s := range e.slots {
+		if now.Sub(s.at) > windowSpan {
+			continue
+		}
+		for id, c := range s.routes {
+			if sums[id] == nil {
+				sums[id] = &Counts{Route: id}
+			}
+			for _, sum := range []*Counts{all, sums[id]} {
+				sum.Old.add(&c.Old)
+				sum.New.add(&c.New)
+			}
+		}
+	}
+	if why := all.bad(); why != "" {
+		return "on all routes, " + why
+	}
+	for id, c := range sums {
+		if why := c.bad(); why != "" {
+			return fmt.Sprintf("on route %q, %s", id, why)
+		}
+	}
+	return ""
+}
+
+func (c *Counts) bad() string {
+	if c.New.Failures >= leastFailures && c.New.failed() > 2*c.Old.failed()+excessFailures {
+		return fmt.Sprintf("%d of %d calls failed, of the old version %d of %d", c.New.Failures, c.New.Calls, c.Old.Failures, c.Old.Calls)
+	}
+	if c.New.Warm >= leastSlow && c.Old.Warm >= leastSlow && float64(c.New.mean()) > slowFactor*float64(c.Old.mean()) {
+		return fmt.Sprintf("%d calls took %v on average, those of the old version %v", c.New.Warm, c.New.mean(), c.Old.mean())
+	}
+	return ""
+}
+
+// Take returns what was counted and forgets it, so that a report holds what is
+// new since the last one.
+func (e *Evidence) Take() []Counts {
+	sums := map[mesh.RouteID]*Counts{}
+	for _, s := range e.slots {
+		for id, c := range s.routes {
+			if sums[id] == nil {
+				sums[id] = &Counts{Route: id}
+			}
+			sums[id].Old.add(&c.Old)
+			sums[id].New.add(&c.New)
+		}
+	}
+	e.slots = nil
+	routes := make([]Counts, 0, len(sums))
+	for _, c := range sums {
+		routes = append(routes, *c)
+	}
+	return routes
+}
--- /dev/null
+++ b/plugins/rolloutrows/duties.go
@@ -0,0 +1,173 @@
+package rolloutrows
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/phuslu/log"
+	"go.uber.org/fx"
+
+	"teaselring/kernel"
+	"teaselring/port"
+	"teaselring/result"
+)
+
+// sender is the duty that sends reports to the judging node.
+type sender struct {
+	reports  *reports
+	verdicts *verdicts
+	client   *http.Client
+	logger   *log.Logger
+}
+
+func newSender(r *reports, v *verdicts, logger *log.Logger) kernel.Duty {
+	s := &sender{reports: r, verdicts: v, logger: logger, client: &http.Client{
+		Timeout: reportTimeout, Transport: &http.Transport{IdleConnTimeout: 5 * time.Second},
+	}}
+	return kernel.Duty{
+		Name: "evidence-sender", Owns: "nothing", In: []string{reportRing}, Out: []string{verdictRing}, Run: s.run,
+	}
+}
+
+func (s *sender) run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case out := <-s.reports.C():
+			s.send(ctx, &out)
+		}
+	}
+}
+
+// send tries the judging nodes in order.
+func (s *sender) send(ctx context.Context, out *sending) {
+	body, err := cbor.Marshal(out.report)
+	if err != nil {
+		s.logger.Error().Err(err).Msg("evidence not encoded")
+		return
+	}
+	for _, judge := range out.judges {
+		v, err := s.ask(ctx, judge, body)
+		if err == nil {
+			_ = s.verdicts.Send(ctx, v) // fails only when the node stops
+			return
+		}
+		s.logger.Warn().Str("peer", judge).Err(err).Msg("evidence not delivered")
+	}
+}
+
+func (s *sender) ask(ctx context.Context, judge string, body []byte) (v verdict, err error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+judge+evidencePath, bytes.NewReader(body))
+	if err != nil {
+		return v, err
+	}
+	answer, err := s.client.Do(request)
+	if err != nil {
+		return v, err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	content, err := io.ReadAll(io.LimitReader(answer.Body, maxReport))
+	if err != nil {
+		return v, err
+	}
+	if answer.StatusCode != http.StatusOK {
+		return v, result.BadMessage.Errorf("status %d", answer.StatusCode)
+	}
+	return v, cbor.Unmarshal(content, &v)
+}
+
+// newInbound takes the reports of other nodes.
+func newInbound(in *inbox) port.InboundRoute {
+	return port.InboundRoute{Path: evidencePath, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(io.LimitReader(r.Body, maxReport))
+		var received report
+		if err == nil {
+			err = cbor.Unmarshal(body, &received)
+		}
+		if err != nil {
+			port.Refuse(w, result.BadMessage.Errorf("evidence: %v", err))
+			return
+		}
+		v, err := kernel.Do(r.Context(), in, received)
+		if err == nil {
+			body, err = cbor.Marshal(v)
+		}
+		if err != nil {
+			port.Refuse(w, err)
+			return
+		}
+		_, _ = w.Write(body)
+	})}
+}
+
+type writerIn struct {
+	fx.In
+	Writes   *writes
+	Feed     port.Feed
+	Operator port.OperatorRows
+	Logger   *log.Logger
+}
+
+// writer is the duty that writes the rows of moves and the operator's status.
+type writer struct{ writerIn }
+
+func newWriter(in writerIn) kernel.Duty {
+	w := &writer{in}
+	return kernel.Duty{Name: "rollout-writer", Owns: "nothing", In: []string{writeRing}, Run: w.run}
+}
+
+func (w *writer) run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case state := <-w.Writes.C():
+			w.finish(ctx, state)
+		}
+	}
+}
+
+// finish writes a state until it is written, a newer one comes or the row has
+// changed. The condition keeps a late write from undoing what came after it.
+func (w *writer) finish(ctx context.Context, state write) {
+	for failures := 0; ; failures++ {
+		err := w.write(ctx, &state)
+		line := w.Logger.Info().Str("service", string(state.rollout.Service)).Str("phase", string(state.rollout.Phase)).
+			Uint64("on", state.revision).Err(err)
+		if err == nil || result.Of(err) == result.RowConflict || ctx.Err() != nil {
+			line.Msg("state of a move written")
+			return
+		}
+		line.Msg("state of a move not written")
+		span := min(writeLeast<<min(failures, 8), writeMost)
+		select {
+		case <-ctx.Done():
+			return
+		case state = <-w.Writes.C():
+		case <-time.After(span/2 + rand.N(span/2)):
+		}
+	}
+}
+
+func (w *writer) write(ctx context.Context, state *write) error {
+	value, err := cbor.Marshal(state.rollout)
+	if err != nil {
+		return result.From(err)
+	}
+	r := &state.rollout
+	key := port.RolloutRowPrefix + string(r.Service)
+	_, err = w.Feed.Write(ctx, port.Txn{
+		Checks: []port.Check{{Table: port.NodeTable, Key: key, Revision: state.revision}},
+		Puts: []port.Put{
+			{Table: port.NodeTable, Key: key, Value: value},
+			w.Operator.Status(r.Service, r.New, r.Phase),
+		},
+	})
+	return err
+}
