Give a leaving server no calls after half of the platform's bound

Cause: call.slots let a draining upstream take calls for the product's 3 s; the platform counts 2 s from the acknowledgement. Ruled out: late dispatch from the queue, which is refused when draining.

--- a/plugins/callslots/slots.go
+++ b/plugins/callslots/slots.go
@@ -31,6 +31,7 @@
 	View     *port.ViewCell
 	Snapshot *port.SnapshotCell
 	Load     *port.LoadCell
+	Site     *port.Site      `optional:"true"`
 	Pushes   *port.PushRing  `optional:"true"`
 	Audit    *port.AuditRing `optional:"true"`
 	Metrics  metrics.Registry
--- a/plugins/callslots/upstream.go
+++ b/plugins/callslots/upstream.go
@@ -99,7 +99,18 @@
 		d.reportCrash(ctx, now)
 	}
 	d.slots.Resize(d.size(&after))
-	d.slots.SetDraining(u.draining(now, d.in.Settings.DrainGrace.Duration))
+	d.slots.SetDraining(u.draining(now, drainGrace(d.in.Settings, d.in.Site)))
+}
+
+// drainGrace returns the time for which a draining upstream still gets calls. A
+// platform's bound counts from the acknowledgement to the arrival at the server;
+// half of it leaves room for the way there.
+func drainGrace(s *Settings, site *port.Site) time.Duration {
+	grace := s.DrainGrace.Duration
+	if site != nil {
+		grace = min(grace, site.Drain/2)
+	}
+	return grace
 }
 
 // draining reports whether new work is refused: at once when the upstream is
