--- a/plugins/callrelay/entry.go
+++ b/plugins/callrelay/entry.go
@@ -51,6 +51,9 @@
 func (e *entry) newCall(r *port.Request) (*call, error) {
 	id := r.Header.Get(e.Headers.RequestID)
 	c := &call{entry: e, request: r, id: id, began: time.Now()}
+	if e.Grace.StoppingFor() > takeWhileStopping {
+		return c, result.Draining.Errorf("the node is stopping")
+	}
 	snapshot := e.Snapshot.Load()
 	if snapshot == nil {
 		return c, result.NoConfiguration.Err()
@@ -87,6 +90,10 @@
 	return c, nil
 }
 
+// takeWhileStopping is the time after the signal to stop in which calls of the
+// machine are still taken. The rest of the grace is for those in progress.
+const takeWhileStopping = 3 * time.Second
+
 // startShare is the part of a route's target latency in which a call must have
 // started. The rest is for its work and its ways.
 const startShare = 0.6
--- /dev/null
+++ b/plugins/callrelay/relay_test.go
@@ -0,0 +1,285 @@
+package callrelay
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"teaselring/decision/replica"
+	"teaselring/kernel"
+	"teaselring/mesh"
+	"teaselring/port"
+	"teaselring/result"
+)
+
+func TestCallRelay(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "call.relay")
+}
+
+// serving answers every query of a ring until the test ends.
+func serving[Q, A any](name string, answer func(Q) (A, error)) *kernel.Ring[kernel.Ask[Q, A]] {
+	ring := kernel.NewRing[kernel.Ask[Q, A]](name, 64, kernel.WaitUntilDeadline)
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	go func() {
+		for {
+			select {
+			case ask := <-ring.C():
+				if a, err := answer(ask.Query); err != nil {
+					ask.Fail(err)
+				} else {
+					ask.Answer(a)
+				}
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return ring
+}
+
+// headers are those of a platform of this test.
+var headers = port.CallHeaders{
+	RequestID: "Id", DeadlineMS: "Left", Signature: "Proof", Expect: "Only", Instance: "Server", NotRun: "Not-Run",
+	Load: "Load", Caller: "From",
+}
+
+// node is an entry node whose router and slots are scripted. Its only targets
+// are itself and the servers at the addresses.
+type node struct {
+	entry   *entry
+	servers []string // IP:port, one for each attempt to come
+	retry   bool     // what the router says about failed attempts that cost something
+	asked   atomic.Int64
+}
+
+func newNode(servers ...string) *node {
+	n := &node{servers: servers}
+	snapshot := new(port.SnapshotCell)
+	s := &mesh.Snapshot{Version: 1, Routes: []mesh.Route{
+		{ID: "r", Host: "h", PathPrefix: "/read/", Service: "s", Class: mesh.ClassRead, Timeout: 2 * time.Second, MaxAttempts: 2},
+		{ID: "o", Host: "h", PathPrefix: "/once/", Service: "s", Class: mesh.ClassOnce, Timeout: 2 * time.Second, MaxAttempts: 2},
+	}}
+	Expect(s.Index()).To(Succeed())
+	snapshot.Store(s)
+	rows := new(port.RowsCell)
+	rows.Store(replica.New())
+	in := relayIn{
+		Identity: mesh.Identity{Node: "n"}, Site: &port.Site{Service: "caller"}, Headers: headers, Snapshot: snapshot, Rows: rows,
+		View: new(port.ViewCell), Load: new(port.LoadCell), Grace: new(kernel.Grace), Logger: kernel.NewLogger(io.Discard),
+		Hints: kernel.NewRing[port.RowsHint]("hints", 8, kernel.ReplaceOldest),
+		Picks: serving("picks", func(p port.Pick) (mesh.Target, error) {
+			if len(n.servers) == 0 {
+				return mesh.Target{}, result.NoEndpoint.Err()
+			}
+			return mesh.Target{Node: "n", Service: "s"}, nil
+		}),
+		Outcomes: kernel.NewRing[port.Finished]("outcomes", 64, kernel.ReplaceOldest),
+		Retries: serving("retries", func(port.MayRetry) (port.RetryVerdict, error) {
+			n.asked.Add(1)
+			return port.RetryVerdict{Retry: n.retry}, nil
+		}),
+		Admit: serving("admit", func(port.Admit) (port.Admitted, error) {
+			address := n.servers[0]
+			n.servers = n.servers[1:]
+			if address == "" {
+				return port.Admitted{}, result.QueueFull.Err()
+			}
+			return port.Admitted{Upstream: netip.MustParseAddrPort(address), Instance: "i"}, nil
+		}),
+		Release: kernel.NewRing[port.Released]("release", 64, kernel.ReplaceOldest),
+	}
+	n.entry = &entry{relayIn: &in, owner: &owner{relayIn: &in, pool: newPool(), calls: new(atomic.Int64)}, pool: newPool()}
+	return n
+}
+
+// call sends a request with the id "1" through the node.
+func (n *node) call(method, path, body string) *port.Answer {
+	return n.callFor(context.Background(), method, path, body)
+}
+
+func (n *node) callFor(ctx context.Context, method, path, body string) *port.Answer {
+	r, err := http.NewRequest(method, path, nil)
+	Expect(err).NotTo(HaveOccurred())
+	r.Host, r.Header = "h", http.Header{"Id": {"1"}, "Left": {"1500"}, "From": {"forged"}, "Teasel-Class": {"forged"}}
+	return n.entry.serve(ctx, &port.Request{Request: r, Held: []byte(body), Length: int64(len(body)), Arrived: time.Now()})
+}
+
+// server answers each request of each connection by the scripted bytes.
+func server(script ...string) (address string, requests chan *http.Request) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	requests = make(chan *http.Request, 16)
+	next := make(chan string, len(script))
+	for _, s := range script {
+		next <- s
+	}
+	serve := func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		for reader := bufio.NewReader(c); ; {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			requests <- r
+			answer := <-next
+			_, _ = io.WriteString(c, strings.TrimSuffix(answer, closes))
+			if strings.HasSuffix(answer, closes) {
+				return
+			}
+		}
+	}
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return listener.Addr().String(), requests
+}
+
+// closes ends a scripted answer after which the server closes the connection.
+const closes = "\x00"
+
+func ok(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nProof: p\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+}
+
+func code(a *port.Answer) string { return a.Header.Get(port.CodeHeader) }
+
+var _ = Describe("a request to a server", func() {
+	It("carries what the server may trust and nothing of other connections or nodes", func() {
+		address, requests := server(ok("1", "abc"))
+		a := newNode(address).call("GET", "/read/x?y=1", "")
+		Expect(a.Status).To(Equal(200))
+		Expect(string(a.Held)).To(Equal("abc"))
+		var r *http.Request
+		Expect(requests).To(Receive(&r))
+		Expect(r.RequestURI).To(Equal("/read/x?y=1"))
+		Expect(r.Header.Get("From")).To(Equal("caller"), "the service of the machine, whatever was sent")
+		Expect(r.Header.Get("Only")).To(Equal("i"))
+		Expect(r.Header).NotTo(HaveKey("Teasel-Class"))
+	})
+})
+
+// Each of these was answered as a success or as not run in an earlier project.
+var _ = DescribeTable("a bad answer of a server",
+	func(answer, class string, status int, want *result.Code) {
+		address, _ := server(answer)
+		a := newNode(address).call("POST", "/"+class+"/x", "body")
+		Expect(a.Status).To(Equal(status))
+		Expect(code(a)).To(Equal(strconv.Itoa(want.Number)))
+	},
+	Entry("that breaks off is not whole", "HTTP/1.1 200 OK\r\nId: 1\r\nProof: p\r\nContent-Length: 9\r\n\r\nabc"+closes, "once", 502, result.UpstreamLost),
+	Entry("of no length that is not HTTP", "garbage\r\n\r\n"+closes, "once", 502, result.UpstreamLost),
+	Entry("without proof", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n\r\n", "once", 502, result.UpstreamLost),
+	Entry("with an encoding", "HTTP/1.1 200 OK\r\nId: 1\r\nProof: p\r\nContent-Encoding: gzip\r\nContent-Length: 0\r\n\r\n", "once", 502, result.UpstreamLost),
+	Entry("503 without a statement is no promise", "HTTP/1.1 503 Busy\r\nId: 1\r\nContent-Length: 0\r\n\r\n", "once", 502, result.UpstreamLost),
+	Entry("503 with a statement is one", "HTTP/1.1 503 Busy\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", "once", 503, result.Shed),
+	Entry("421 of another server is one", "HTTP/1.1 421 Other\r\nServer: j\r\nContent-Length: 0\r\n\r\n", "once", 503, result.NoEndpoint),
+)
+
+var _ = Describe("an answer to another request", func() {
+	// A server sent a second answer late; the next request on the connection got it.
+	It("is skipped, and the connection is not used again", func() {
+		address, requests := server(ok("0", "old")+ok("1", "new"), ok("1", "third"))
+		n := newNode(address, address)
+		Expect(string(n.call("GET", "/read/x", "").Held)).To(Equal("new"))
+		Expect(string(n.call("GET", "/read/x", "").Held)).To(Equal("third"))
+		Expect(requests).To(HaveLen(2))
+	})
+
+	It("that came after a whole answer is not taken for the next one", func() {
+		address, _ := server(ok("1", "first")+ok("0", "extra"), ok("1", "next"))
+		n := newNode(address, address)
+		Expect(string(n.call("GET", "/read/x", "").Held)).To(Equal("first"))
+		Expect(string(n.call("GET", "/read/x", "").Held)).To(Equal("next"))
+	})
+})
+
+var _ = Describe("a call that may have run", func() {
+	lost := func() string { address, _ := server(closes); return address }
+
+	It("is not sent again when it must run once, and is not refused as not run", func() {
+		n := newNode(lost(), lost())
+		a := n.call("POST", "/once/x", "b")
+		Expect(a.Status).To(Equal(502))
+		Expect(n.servers).To(HaveLen(1))
+	})
+
+	It("is not refused as not run when a later attempt finds no server", func() {
+		n := newNode(lost())
+		n.retry = true
+		Expect(n.call("GET", "/read/x", "").Status).To(Equal(502))
+	})
+
+	It("is answered by another server when the router allows it", func() {
+		address, _ := server(ok("1", "abc"))
+		n := newNode(lost(), address)
+		n.retry = true
+		Expect(n.call("GET", "/read/x", "").Status).To(Equal(200))
+	})
+})
+
+var _ = Describe("a call that a node refused before its server", func() {
+	It("goes to another node without a retry", func() {
+		address, _ := server(ok("1", "abc"))
+		n := newNode("", address)
+		Expect(n.call("POST", "/once/x", "b").Status).To(Equal(200))
+		Expect(n.asked.Load()).To(BeZero(), "a refusal that cost no server anything spends no budget")
+	})
+
+	It("is refused as not run with the time to come back", func() {
+		a := newNode("").call("POST", "/once/x", "b")
+		Expect(a.Status).To(Equal(503))
+		Expect(a.Header.Get("Retry-After")).NotTo(BeEmpty())
+	})
+})
+
+var _ = Describe("a call that gets no answer", func() {
+	It("ends with 504 at the caller's deadline", func() {
+		address, _ := server()
+		began := time.Now()
+		a := newNode(address).call("GET", "/read/x", "")
+		Expect(a.Status).To(Equal(504))
+		Expect(time.Since(began)).To(BeNumerically(">=", 1400*time.Millisecond))
+	})
+
+	// The server would work on for a client that is gone.
+	It("ends at the server when the client leaves", func() {
+		address, requests := server()
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		n := newNode(address)
+		go func() { defer close(done); n.callFor(ctx, "GET", "/read/x", "") }()
+		Eventually(requests, "5s").Should(Receive())
+		cancel()
+		Eventually(done, "1s").Should(BeClosed())
+	})
+})
+
+var _ = Describe("a node without configuration", func() {
+	// A 404 ends a request for good, a 503 lets it come back.
+	It("answers 503, not 404", func() {
+		n := newNode()
+		n.entry.Snapshot = new(port.SnapshotCell)
+		Expect(n.call("GET", "/read/x", "").Status).To(Equal(503))
+	})
+})
--- a/plugins/edgeoutbound/setup.go
+++ b/plugins/edgeoutbound/setup.go
@@ -35,6 +35,8 @@
 	// served: the platform asks once a second and takes a machine out after two
 	// answers that it is not ready.
 	stayAfterStop = 2300 * time.Millisecond
+	// acceptAfterStop is the time after the signal in which connections are taken.
+	acceptAfterStop = 3 * time.Second
 	// quietBeforeEnd is the time without a request after which a stopping node ends.
 	quietBeforeEnd = 200 * time.Millisecond
 	// endMargin is left of the grace for the last answers' way.
@@ -122,6 +124,9 @@
 			quiet = time.Now()
 		}
 		stopped := e.Grace.StoppingFor()
+		if stopped >= acceptAfterStop {
+			_ = e.socket.Close()
+		}
 		if stopped >= end || (stopped >= stayAfterStop && time.Since(quiet) >= quietBeforeEnd) {
 			_ = e.socket.Close()
 			e.Logger.Info().Dur("after", stopped).Int64("calls", e.Calls()).Msg("stopped serving")
