Keep calls in their zone while their aim is expected to be met

Averages mixed routes of 40 ms and 640 ms and took a hundred calls to follow. Now times are compared in units of the route's own average, averages follow within seconds, and a call with an aim stays near while its answer is expected within 0.7 of the time left.

--- a/decision/routing/choose.go
+++ b/decision/routing/choose.go
@@ -34,9 +34,9 @@
 			first, second = s.versions(split, q)
 		}
 	}
-	best := r.choose(s, first, q.Tried, rnd, now)
+	best := r.choose(s, first, q, rnd, now)
 	if best == nil && second != "" {
-		best = r.choose(s, second, q.Tried, rnd, now)
+		best = r.choose(s, second, q, rnd, now)
 	}
 	if best == nil {
 		return mesh.Target{}, result.NoEndpoint.Errorf(
@@ -71,8 +71,8 @@
 
 // choose compares two random endpoints of each tier, nearest first. It stops
 // at the first tier whose better one has room; otherwise the lowest score wins.
-func (r *Router) choose(s *service, v mesh.UpstreamVersion, tried []mesh.NodeID, rnd Random, now time.Time) *endpoint {
-	byTier := r.candidates(s, v, tried, now)
+func (r *Router) choose(s *service, v mesh.UpstreamVersion, q *Query, rnd Random, now time.Time) *endpoint {
+	byTier := r.candidates(s, v, q.Tried, now)
 	var best *endpoint
 	var bestScore float64
 	for t := range tiers {
@@ -80,11 +80,11 @@
 		if len(list) == 0 {
 			continue
 		}
-		e, score := r.better(list, t, s, rnd, now)
+		e, score := r.better(list, t, s, q, rnd, now)
 		if best == nil || score < bestScore {
 			best, bestScore = e, score
 		}
-		if t < remote && r.hasRoom(best, t, s, now) {
+		if t < remote && r.hasRoom(best, bestScore, t, s, q, now) {
 			break
 		}
 	}
@@ -94,22 +94,26 @@
 // hasRoom reports whether the best endpoint up to a tier is good enough not to
 // look further away: it is not busy, not much slower than the service on the
 // whole, and does not fail.
-func (r *Router) hasRoom(e *endpoint, t tier, s *service, now time.Time) bool {
+// For a call with an aim, it is enough that its answer is expected well before.
+func (r *Router) hasRoom(e *endpoint, score float64, t tier, s *service, q *Query, now time.Time) bool {
 	spill := r.params.ZoneSpill
 	if t == sameRegion {
 		spill = r.params.RegionSpill
 	}
 	latency, failures := e.history(s.expected, now, r.params.HistoryTrust)
+	if !q.Call.Aim.IsZero() {
+		return failures < 0.5 && score <= r.params.StayNear*float64(q.Call.Aim.Sub(now))
+	}
 	return e.load(now, &r.params) < spill*e.capacity() && failures < 0.5 &&
 		(t == sameRegion || latency <= r.params.SlowFactor*s.expected)
 }
 
 // better returns the one with the lower score of two random endpoints of a
 // non-empty list.
-func (r *Router) better(list []*endpoint, t tier, s *service, rnd Random, now time.Time) (*endpoint, float64) {
+func (r *Router) better(list []*endpoint, t tier, s *service, q *Query, rnd Random, now time.Time) (*endpoint, float64) {
 	i := rnd.IntN(len(list))
 	a := list[i]
-	scoreA := r.score(a, t, s, now)
+	scoreA := r.score(a, t, s, q, now)
 	if len(list) == 1 {
 		return a, scoreA
 	}
@@ -118,7 +122,7 @@
 		j++
 	}
 	b := list[j]
-	if scoreB := r.score(b, t, s, now); scoreB < scoreA*(1-tieMargin) {
+	if scoreB := r.score(b, t, s, q, now); scoreB < scoreA*(1-tieMargin) {
 		return b, scoreB
 	}
 	return a, scoreA
@@ -130,7 +134,7 @@
 
 // score estimates the time in ns until the answer of one more call: the way,
 // the time of a call on this endpoint, and the wait for a slot.
-func (r *Router) score(e *endpoint, t tier, s *service, now time.Time) float64 {
+func (r *Router) score(e *endpoint, t tier, s *service, q *Query, now time.Time) float64 {
 	way := [tiers]time.Duration{0, r.params.RegionCost, r.params.RemoteCost}[t]
 	expected := s.expected
 	if expected == 0 {
@@ -139,7 +143,7 @@
 	call, failures := e.history(expected, now, r.params.HistoryTrust)
 	call *= 1 + r.params.FailureCost*failures
 	load := e.load(now, &r.params)
-	return float64(way) + call*(1+pressure(load, e.capacity()))
+	return float64(way) + call*(s.scale(q.Call.Route)+pressure(load, e.capacity()))
 }
 
 // pressure is the expected wait for a slot in units of the time of a call. The
--- a/decision/routing/endpoint.go
+++ b/decision/routing/endpoint.go
@@ -92,8 +92,10 @@
 	return e.others * math.Exp(-float64(now.Sub(e.reported))/float64(p.LoadTrust))
 }
 
-// learn updates averages and penalties from an outcome.
-func (e *endpoint) learn(o *mesh.Outcome, now time.Time, p *Params) {
+// learn updates averages and penalties from an outcome of a call that is scale
+// times as long as the service's average call.
+func (e *endpoint) learn(o *mesh.Outcome, scale float64, now time.Time, p *Params) {
+	weight := p.weight(e.observed, now)
 	switch {
 	case unreachable(o):
 		e.strike(now, p)
@@ -107,7 +109,7 @@
 		e.full(now, p)
 	case answered(o):
 		e.silent = 0
-		e.latency = average(e.latency, float64(o.Duration), p.Smoothing)
+		e.latency = average(e.latency, float64(o.Duration)/scale, weight)
 		e.recover(now)
 	}
 	e.observed = now
@@ -115,7 +117,7 @@
 	if o.Failed && !shed(o) {
 		failed = 1
 	}
-	e.failures += p.Smoothing * (failed - e.failures)
+	e.failures += weight * (failed - e.failures)
 }
 
 // history returns the average time of an answer and the share of failures. Both
--- /dev/null
+++ b/decision/routing/near_test.go
@@ -0,0 +1,80 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"teaselring/mesh"
+)
+
+// nearAndFar is a router in zone a that knows one server there and one in zone b.
+func nearAndFar() *Router {
+	r := New(DefaultParams())
+	member := func(node mesh.NodeID, zone mesh.Zone) mesh.Member {
+		return mesh.Member{
+			Node: node, Incarnation: 1, Zone: zone, Region: "r", State: mesh.NodeAlive,
+			Endpoint: mesh.Endpoint{Service: "s", Version: "v", Slots: 4, State: mesh.EndpointReady, Process: "p"},
+		}
+	}
+	r.Observe(&mesh.View{Self: "far-home", Members: []mesh.Member{member("far", "b"), member("far-home", "a")}})
+	return r
+}
+
+func (r *Router) answer(node mesh.NodeID, route mesh.RouteID, took time.Duration, now time.Time) {
+	target := mesh.Target{Node: node, Incarnation: 1, Service: "s", Version: "v"}
+	r.Begin(target, now)
+	r.End(mesh.Outcome{Target: target, Route: route, Status: 200, Duration: took}, now)
+}
+
+func (r *Router) pickNode(route mesh.RouteID, aim time.Duration, now time.Time) mesh.NodeID {
+	call := &mesh.Call{Service: "s", Route: route, Aim: now.Add(aim)}
+	t, err := r.Pick(&Query{Call: call}, nil, rand.New(rand.NewPCG(1, 1)), now)
+	Expect(err).NotTo(HaveOccurred())
+	return t.Node
+}
+
+var _ = Describe("a call with an aim", func() {
+	start := time.Unix(1000, 0)
+
+	// Calls left the zone as soon as the near server was half busy; bytes between
+	// zones were the largest loss of a calm day.
+	It("stays in its zone while its answer is expected well before the aim", func() {
+		r, now := nearAndFar(), start
+		for range 20 {
+			now = now.Add(50 * time.Millisecond)
+			r.answer("far-home", "x", 100*time.Millisecond, now)
+			r.answer("far", "x", 50*time.Millisecond, now)
+		}
+		near := mesh.Target{Node: "far-home", Incarnation: 1}
+		for range 2 {
+			r.Begin(near, now)
+		}
+		Expect(r.pickNode("x", 500*time.Millisecond, now)).To(BeEquivalentTo("far-home"))
+		Expect(r.pickNode("x", 100*time.Millisecond, now)).To(BeEquivalentTo("far"), "the near answer would be late")
+	})
+
+	// One service runs calls of 40 ms and of 640 ms; a server that got the long ones
+	// counted as slow.
+	It("is judged by the time of its own route", func() {
+		r, now := nearAndFar(), start
+		for range 40 {
+			now = now.Add(50 * time.Millisecond)
+			r.answer("far-home", "long", 640*time.Millisecond, now)
+			r.answer("far", "short", 40*time.Millisecond, now)
+		}
+		Expect(r.pickNode("short", 200*time.Millisecond, now)).To(BeEquivalentTo("far-home"))
+	})
+})
+
+var _ = Describe("averages", func() {
+	// With few calls a second, a server that turned slow was found out after half a minute.
+	It("follow seldom samples within a few seconds", func() {
+		p, last := DefaultParams(), start
+		Expect(p.weight(last, last.Add(300*time.Millisecond))).To(BeNumerically("~", 0.1, 1e-9))
+		Expect(p.weight(last, last.Add(time.Millisecond))).To(Equal(p.Smoothing))
+		Expect(p.weight(last, last.Add(time.Minute))).To(Equal(maxSmoothing))
+	})
+})
--- a/decision/routing/router.go
+++ b/decision/routing/router.go
@@ -29,8 +29,14 @@
 	LoadTrust time.Duration
 	// HistoryTrust is the same for averages of an endpoint that gets no calls.
 	HistoryTrust time.Duration
-	// Smoothing is the weight of a new sample in latency and failure averages.
-	Smoothing float64
+	// Smoothing is the least weight of a new sample in latency and failure
+	// averages. Samples that come seldom weigh more: averages cover about the last
+	// SmoothingSpan, and at least a few samples.
+	Smoothing     float64
+	SmoothingSpan time.Duration
+	// StayNear is the part of the time until a call's aim within which an answer
+	// from its own zone must be expected for others not to be looked at.
+	StayNear float64
 	// FailureCost multiplies the expected time of an endpoint whose answers all fail.
 	FailureCost float64
 	// PenaltyBase and PenaltyMax bound the time for which an endpoint that does
@@ -54,12 +60,23 @@
 		RegionCost: time.Millisecond, RemoteCost: 60 * time.Millisecond,
 		ZoneSpill: 0.25, RegionSpill: 0.9, SlowFactor: 1.25,
 		ReportWeight: 0.7, ReportSmoothing: 0.5, LoadTrust: 500 * time.Millisecond,
-		HistoryTrust: 10 * time.Second, Smoothing: 0.01, FailureCost: 10,
+		HistoryTrust: 10 * time.Second, Smoothing: 0.01, SmoothingSpan: 3 * time.Second, FailureCost: 10, StayNear: 0.7,
 		PenaltyBase: 100 * time.Millisecond, PenaltyMax: 5 * time.Second, TrialLease: 5 * time.Second,
 		SilentCalls: 3, SilentAfter: 500 * time.Millisecond,
 	}
 }
 
+// maxSmoothing is the largest weight of one sample.
+const maxSmoothing = 0.2
+
+// weight returns the weight of a sample after a gap since the last one.
+func (p *Params) weight(last, now time.Time) float64 {
+	if last.IsZero() {
+		return maxSmoothing
+	}
+	return min(max(float64(now.Sub(last))/float64(p.SmoothingSpan), p.Smoothing), maxSmoothing)
+}
+
 // Query asks for an endpoint for one attempt.
 type Query struct {
 	Call  *mesh.Call
@@ -82,6 +99,33 @@
 	endpoints []*endpoint // in order of node id
 	inUse     mesh.UpstreamVersion
 	expected  float64 // average time of an answer in ns
+	// routes holds the average time of an answer of each route in ns. Times of
+	// endpoints are compared in units of the service's average call, so that an
+	// endpoint that got the long calls does not count as slow.
+	routes   map[mesh.RouteID]float64
+	observed time.Time // the last answer
+}
+
+// maxRoutes bounds the routes with an average of their own.
+const maxRoutes = 4096
+
+// scale returns how long a call of the route is in units of the average call.
+func (s *service) scale(route mesh.RouteID) float64 {
+	if average := s.routes[route]; average > 0 && s.expected > 0 {
+		return average / s.expected
+	}
+	return 1
+}
+
+// learn updates the averages with the time of an answer.
+func (s *service) learn(o *mesh.Outcome, now time.Time, p *Params) {
+	weight := p.weight(s.observed, now)
+	s.observed = now
+	s.expected = average(s.expected, float64(o.Duration), weight)
+	if s.routes == nil || len(s.routes) >= maxRoutes {
+		s.routes = map[mesh.RouteID]float64{}
+	}
+	s.routes[o.Route] = average(s.routes[o.Route], float64(o.Duration), max(weight, p.Smoothing))
 }
 
 // New returns a router that knows no endpoint.
@@ -172,10 +216,13 @@
 	}
 	e.report(o.Load, now, &r.params)
 	e.leave()
-	e.learn(&o, now, &r.params)
-	if s := r.byName[o.Target.Service]; s != nil && answered(&o) {
-		s.expected = average(s.expected, float64(o.Duration), r.params.Smoothing)
+	s := r.byName[o.Target.Service]
+	if s != nil && answered(&o) {
+		s.learn(&o, now, &r.params)
+		e.learn(&o, s.scale(o.Route), now, &r.params)
+		return
 	}
+	e.learn(&o, 1, now, &r.params)
 }
 
 // Expected returns the average time of an answer of the service, or 0 when
