Let calls wait for a slot only as long as their aim allows

Now a call starts by its aim less 1.5 times the average hold time, and short calls may wait 250 ms while their deadline allows.

--- a/decision/limit/slots.go
+++ b/decision/limit/slots.go
@@ -32,6 +32,8 @@
 	Deadline time.Time
 	// StartBy replaces the queue's longest wait; zero: it applies.
 	StartBy time.Time
+	// Aim is when the answer loses a part of its worth; zero: never.
+	Aim time.Time
 	// Priority ranks the call instead of its class where Ranked; 0 is first.
 	Priority int
 	Ranked   bool
@@ -44,12 +46,27 @@
 	return rankFirst - rank(min(max(q.Priority, 0), priorities-1))
 }
 
-// until returns the time at which the request must have started.
-func (q *Request) until(now time.Time, wait time.Duration) time.Time {
+// workMargin times the average hold time is left of the time until a call's aim
+// for its work; about one call in seven takes longer.
+const workMargin = 1.5
+
+// until returns the time at which a request must have started. A call with an
+// aim waits only as long as its answer can be expected by then, but at least for
+// half of the queue's longest wait: the aims of very short calls are below the
+// time that any queue takes.
+func (s *Slots) until(q *Request, now time.Time) time.Time {
 	if q.StartBy.IsZero() {
-		return earlier(q.Deadline, now.Add(wait))
+		return earlier(q.Deadline, now.Add(s.params.QueueWait))
+	}
+	until := earlier(q.Deadline, q.StartBy)
+	if q.Aim.IsZero() {
+		return until
+	}
+	useful := q.Aim.Add(-time.Duration(workMargin * s.holdTime[q.rank()]))
+	if least := now.Add(s.params.QueueWait / 2); useful.Before(least) {
+		useful = least
 	}
-	return earlier(q.Deadline, q.StartBy)
+	return earlier(until, useful)
 }
 
 // Refusal is a waiting call that will not start, with the reason.
@@ -143,7 +160,7 @@
 	if !q.Deadline.After(now) {
 		return nil, result.DeadlineBefore.Err()
 	}
-	w := waiter{Request: q, since: now, until: q.until(now, s.params.QueueWait)}
+	w := waiter{Request: q, since: now, until: s.until(&q, now)}
 	if !s.startable(q.rank()) {
 		return s.enqueueWaiting(w)
 	}
--- a/plugins/callforward/headers.go
+++ b/plugins/callforward/headers.go
@@ -22,7 +22,7 @@
 // internalHeaders are set by nodes only; a caller or upstream can't forge them.
 var internalHeaders = []string{
 	wire.HeaderAttempt, wire.HeaderService, wire.HeaderVersion, wire.HeaderIncarnation, wire.HeaderClass,
-	wire.HeaderRoute, wire.HeaderFingerprint, wire.HeaderLoad, wire.HeaderStartBy, wire.HeaderPriority, port.CodeHeader,
+	wire.HeaderRoute, wire.HeaderFingerprint, wire.HeaderLoad, wire.HeaderStartBy, wire.HeaderAim, wire.HeaderPriority, port.CodeHeader,
 }
 
 // removeHeaders deletes what concerns one connection or the nodes only.
--- a/plugins/callrelay/entry.go
+++ b/plugins/callrelay/entry.go
@@ -81,7 +81,7 @@
 	c.call = mesh.Call{
 		Method: r.Method, Path: path, Caller: mesh.CallerID(e.Site.Service), Key: id, Class: route.Class,
 		Service: route.ServiceFor(rand.Float64()), Route: route.ID, Deadline: r.Arrived.Add(timeout),
-		Aim: r.Arrived.Add(target), StartBy: r.Arrived.Add(time.Duration(startShare * float64(target))),
+		Aim: r.Arrived.Add(target), StartBy: r.Arrived.Add(max(time.Duration(startShare*float64(target)), min(leastWait, timeout/2))),
 		Priority: route.Priority, Ranked: route.Ranked, Fingerprint: fingerprint(r, e.Site.Service),
 	}
 	if !c.call.Deadline.After(time.Now()) {
@@ -98,6 +98,11 @@
 // started. The rest is for its work and its ways.
 const startShare = 0.6
 
+// leastWait is the time in which a call with a shorter target may start all the
+// same, while its deadline allows: such calls are made by servers, whose own
+// request fails with them.
+const leastWait = 250 * time.Millisecond
+
 // fingerprint identifies equal requests by method, target, caller and held body.
 // All nodes compute the same number.
 func fingerprint(r *port.Request, caller mesh.ServiceID) uint64 {
--- a/plugins/callslots/slots.go
+++ b/plugins/callslots/slots.go
@@ -150,6 +150,7 @@
 func (d *duty) enqueue(q *port.Admit, now time.Time) error {
 	request := limit.Request{
 		Attempt: q.Attempt, Class: q.Call.Class, Deadline: q.Call.Deadline, StartBy: q.Call.StartBy,
+		Aim:      q.Call.Aim,
 		Priority: q.Call.Priority, Ranked: q.Call.Ranked,
 	}
 	evicted, err := d.slots.Enqueue(request, now)
--- a/wire/attempt.go
+++ b/wire/attempt.go
@@ -19,6 +19,7 @@
 	HeaderIncarnation = "Teasel-Incarnation"
 	HeaderDeadline    = "Teasel-Deadline-Ms"
 	HeaderStartBy     = "Teasel-Start-By-Ms"
+	HeaderAim         = "Teasel-Aim-Ms"
 	HeaderPriority    = "Teasel-Priority"
 	HeaderClass       = "Teasel-Class"
 	HeaderRoute       = "Teasel-Route"
@@ -52,6 +53,9 @@
 	if !a.Call.StartBy.IsZero() {
 		h.Set(HeaderStartBy, FormatLeft(a.Call.StartBy, now))
 	}
+	if !a.Call.Aim.IsZero() {
+		h.Set(HeaderAim, FormatLeft(a.Call.Aim, now))
+	}
 	if a.Call.Ranked {
 		h.Set(HeaderPriority, strconv.Itoa(a.Call.Priority))
 	}
@@ -98,12 +102,19 @@
 
 // readRank reads the headers that not every attempt has.
 func (a *Attempt) readRank(h http.Header, now time.Time) error {
-	if text := h.Get(HeaderStartBy); text != "" {
+	for _, at := range []struct {
+		header string
+		time   *time.Time
+	}{{HeaderStartBy, &a.Call.StartBy}, {HeaderAim, &a.Call.Aim}} {
+		text := h.Get(at.header)
+		if text == "" {
+			continue
+		}
 		left, err := strconv.ParseInt(text, 10, 64)
 		if err != nil {
-			return result.BadRequest.Errorf("header %s: %v", HeaderStartBy, err)
+			return result.BadRequest.Errorf("header %s: %v", at.header, err)
 		}
-		a.Call.StartBy = now.Add(time.Duration(left) * time.Millisecond)
+		*at.time = now.Add(time.Duration(left) * time.Millisecond)
 	}
 	if text := h.Get(HeaderPriority); text != "" {
 		priority, err := strconv.Atoi(text)
