--- /dev/null
+++ b/decision/rollout/rollout_test.go
@@ -0,0 +1,149 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"teaselring/mesh"
+	"teaselring/result"
+)
+
+func TestRollout(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "rollout")
+}
+
+var (
+	start = time.Unix(1000, 0)
+	order = mesh.Order{Service: "s", Target: "v2", Duration: 16 * time.Second, Revision: 9}
+)
+
+func view(versions ...mesh.UpstreamVersion) *mesh.View {
+	v := &mesh.View{}
+	for i, version := range versions {
+		v.Members = append(v.Members, mesh.Member{
+			Node: mesh.NodeID(rune('a' + i)), State: mesh.NodeAlive,
+			Endpoint: mesh.Endpoint{Service: "s", Version: version, State: mesh.EndpointReady},
+		})
+	}
+	return v
+}
+
+var _ = DescribeTable("the version in use when an order begins",
+	func(before *mesh.Rollout, v *mesh.View, want mesh.UpstreamVersion) {
+		r := Begin(&order, before, v, time.Minute)
+		Expect(r.Old).To(Equal(want))
+		Expect(r.New).To(BeEquivalentTo("v2"))
+	},
+	Entry("is that of most servers", nil, view("v1", "v2", "v2"), mesh.UpstreamVersion("v1")),
+	Entry("is what the last move brought", &mesh.Rollout{Old: "v0", New: "v1", Phase: mesh.MoveDone}, view("v0"), mesh.UpstreamVersion("v1")),
+	Entry("is what the last move went back to", &mesh.Rollout{Old: "v0", New: "v1", Phase: mesh.MoveTakenBack}, view("v1"), mesh.UpstreamVersion("v0")),
+	Entry("is kept when an order replaces one in progress", &mesh.Rollout{Old: "v0", New: "v1", Phase: mesh.MoveShifting}, view("v1"), mesh.UpstreamVersion("v0")),
+)
+
+var _ = Describe("the share of a new version", func() {
+	r := Begin(&order, nil, view("v1"), time.Minute)
+
+	// The platform lets a bad version get a tenth of the requests.
+	It("adds up to less than a tenth of the time before it gets all calls", func() {
+		sum := 0.0
+		for at := time.Duration(0); Share(&r, r.Started+at) < 1; at += 10 * time.Millisecond {
+			sum += 0.01 / order.Duration.Seconds() * Share(&r, r.Started+at)
+		}
+		Expect(sum).To(BeNumerically("<", 0.1))
+	})
+
+	It("is all when the move is due, and final after its end", func() {
+		due := r.Started + 14*time.Second
+		Expect(Due(&r, due)).To(BeTrue())
+		Expect(Share(&r, due)).To(Equal(1.0))
+		r.Phase = mesh.MoveTakenBack
+		Expect(Share(&r, due)).To(BeZero())
+		Expect(Due(&r, due)).To(BeFalse())
+	})
+
+	It("is taken back when no server of the new version is ready at the end", func() {
+		phase, _ := Ending(&r, view("v1", "v1"))
+		Expect(phase).To(Equal(mesh.MoveTakenBack))
+		phase, _ = Ending(&r, view("v1", "v2"))
+		Expect(phase).To(Equal(mesh.MoveDone))
+	})
+})
+
+// feed observes calls of a version, the first ones failed.
+func feed(e *Evidence, version mesh.UpstreamVersion, route mesh.RouteID, calls, failed int, took time.Duration, now time.Time) {
+	r := Begin(&order, nil, view("v1"), 0)
+	for i := range calls {
+		e.Observe(&r, &mesh.Outcome{
+			Target: mesh.Target{Node: "n", Service: "s", Version: version}, Route: route, Status: 200, Failed: i < failed, Duration: took,
+		}, now)
+	}
+}
+
+var _ = Describe("the evidence about a new version", func() {
+	It("shows failures that the old version does not have", func() {
+		e := NewEvidence()
+		feed(e, "v1", "x", 100, 2, time.Second, start)
+		feed(e, "v2", "x", 10, 2, time.Second, start)
+		Expect(e.Bad(start)).To(BeEmpty(), "two failures may be chance")
+		feed(e, "v2", "x", 3, 3, time.Second, start)
+		Expect(e.Bad(start)).To(ContainSubstring("5 of 13 calls failed"))
+	})
+
+	It("shows failures on one route behind a good average", func() {
+		e := NewEvidence()
+		feed(e, "v1", "x", 100, 0, time.Second, start)
+		feed(e, "v2", "x", 90, 0, time.Second, start)
+		feed(e, "v2", "y", 4, 4, time.Second, start)
+		Expect(e.Bad(start)).To(ContainSubstring(`route "y"`))
+	})
+
+	It("shows badness that begins late", func() {
+		e := NewEvidence()
+		for range 100 {
+			start := start.Add(-10 * time.Second)
+			feed(e, "v2", "x", 10, 0, time.Second, start)
+		}
+		feed(e, "v2", "x", 6, 3, time.Second, start)
+		Expect(e.Bad(start)).NotTo(BeEmpty())
+	})
+
+	It("does not take failures that both versions have for badness", func() {
+		e := NewEvidence()
+		feed(e, "v1", "x", 100, 40, time.Second, start)
+		feed(e, "v2", "x", 10, 5, time.Second, start)
+		Expect(e.Bad(start)).To(BeEmpty())
+	})
+
+	It("shows slow answers, but not those of servers that have just started", func() {
+		e, later := NewEvidence(), start.Add(coldSpan)
+		feed(e, "v2", "x", 20, 0, 8*time.Second, start)
+		feed(e, "v1", "x", 20, 0, time.Second, start)
+		Expect(e.Bad(start)).To(BeEmpty())
+		feed(e, "v1", "x", 20, 0, time.Second, later)
+		feed(e, "v2", "x", 20, 0, 8*time.Second, later)
+		Expect(e.Bad(later)).To(ContainSubstring("on average"))
+	})
+
+	It("of several nodes adds up, and each report counts once", func() {
+		a, pooled := NewEvidence(), NewEvidence()
+		feed(a, "v2", "x", 2, 2, time.Second, start)
+		pooled.Add(a.Take(), start)
+		Expect(a.Take()).To(BeEmpty())
+		feed(a, "v2", "x", 2, 2, time.Second, start)
+		Expect(pooled.Bad(start)).To(BeEmpty())
+		pooled.Add(a.Take(), start)
+		Expect(pooled.Bad(start)).NotTo(BeEmpty())
+	})
+
+	It("does not count what is not the server's doing", func() {
+		for _, o := range []mesh.Outcome{
+			{Code: result.ConnectFailed.Number, Failed: true}, {Code: result.QueueFull.Number, Shed: true}, {Code: result.CallerGone.Number},
+		} {
+			Expect(telling(&o)).To(BeFalse())
+		}
+	})
+})
--- a/mesh/order.go
+++ b/mesh/order.go
@@ -9,6 +9,8 @@
 	Target   UpstreamVersion
 	Duration time.Duration
 	Revision uint64 // of the row that holds the order
+	// Seen is when the node learned of the order, by the platform's clock.
+	Seen time.Duration
 }
 
 // Rollout is the state of an order that all nodes share.
--- a/plugins/configrows/setup.go
+++ b/plugins/configrows/setup.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
@@ -52,6 +53,7 @@
 	fx.In
 	Wake     wake
 	Rows     *port.RowsCell
+	Clock    *port.ClockCell
 	Table    port.OperatorTable
 	Operator port.OperatorRows
 	Snapshot *port.SnapshotCell
@@ -128,6 +130,9 @@
 		return
 	}
 	o.Revision = r.Revision
+	if clock := d.Clock.Load(); clock != nil {
+		o.Seen = clock.Now(time.Now())
+	}
 	next := &port.Orders{ByService: map[mesh.ServiceID]mesh.Order{}}
 	if held := d.Orders.Load(); held != nil {
 		for id, other := range held.ByService {
--- a/plugins/rolloutrows/rollouts.go
+++ b/plugins/rolloutrows/rollouts.go
@@ -38,6 +38,7 @@
 type duty struct {
 	dutyIn
 	services map[mesh.ServiceID]*service
+	set      *replica.Set // that services was decoded from
 }
 
 // service is one service with an order.
@@ -66,7 +67,6 @@
 		case <-ctx.Done():
 			return nil
 		case <-d.Wake.ring.C():
-			d.rows()
 		case o := <-d.Samples.C():
 			d.observe(&o, time.Now())
 			continue
@@ -77,6 +77,7 @@
 		case <-timer.C:
 			d.report(ctx)
 		}
+		d.rows()
 		d.step(ctx, time.Now())
 		d.publish()
 		if d.active() {
@@ -100,9 +101,15 @@
 	return false
 }
 
-// rows takes over the rows of moves.
+// rows takes over the rows of moves. It runs before each decision: a node that
+// has just listed the rows must not take a service with a move for one without.
 func (d *duty) rows() {
-	d.Rows.Load().Each(port.NodeTable, func(r replica.Row) {
+	set := d.Rows.Load()
+	if set == d.set {
+		return
+	}
+	d.set = set
+	set.Each(port.NodeTable, func(r replica.Row) {
 		name, ok := strings.CutPrefix(r.Key, port.RolloutRowPrefix)
 		if !ok {
 			return
@@ -193,7 +200,7 @@
 // step begins, ends and takes back moves.
 func (d *duty) step(ctx context.Context, now time.Time) {
 	orders, clock := d.Orders.Load(), d.Clock.Load()
-	if orders == nil || clock == nil || !d.Rows.Load().Listed(port.NodeTable) {
+	if orders == nil || clock == nil || !d.viewComplete() {
 		return
 	}
 	for id, order := range orders.ByService {
@@ -205,6 +212,9 @@
 				before = &s.rollout
 			}
 			next := rollout.Begin(&order, before, d.View.Load(), clock.Now(now))
+			if next.Old == next.New && clock.Now(now) < order.Seen+aloneSpan {
+				continue
+			}
 			d.write(ctx, id, s, next, now)
 		case s.rollout.Phase == mesh.MoveShifting && s.bad != "":
 			next := s.rollout
@@ -220,6 +230,26 @@
 	}
 }
 
+// aloneSpan is the time for which an order waits while no version but its target
+// is known: the servers of the other may be unknown yet.
+const aloneSpan = 2 * time.Second
+
+// viewComplete reports whether the view holds all nodes that have a row. That of
+// a node that has just started may lag behind the rows, and an order must not
+// begin with the version in use unknown.
+func (d *duty) viewComplete() bool {
+	view := d.View.Load()
+	if view == nil || !d.set.Listed(port.NodeTable) {
+		return false
+	}
+	complete := true
+	d.set.Each(port.NodeTable, func(r replica.Row) {
+		name, ok := strings.CutPrefix(r.Key, port.NodeRowPrefix)
+		complete = complete && (!ok || view.Member(mesh.NodeID(name)) != nil)
+	})
+	return complete
+}
+
 // write hands a state to the writer when it is this node's turn.
 func (d *duty) write(ctx context.Context, id mesh.ServiceID, s *service, next mesh.Rollout, now time.Time) {
 	if s.wanted.IsZero() {
@@ -241,7 +271,7 @@
 // publish stores how calls are divided.
 func (d *duty) publish() {
 	clock := d.Clock.Load()
-	if clock == nil || !d.Rows.Load().Listed(port.NodeTable) || !d.Rows.Load().Listed(string(d.Table)) {
+	if clock == nil || !d.set.Listed(port.NodeTable) || !d.set.Listed(string(d.Table)) {
 		return
 	}
 	splits := mesh.Splits{ByService: map[mesh.ServiceID]mesh.Split{}}
