Let one node a zone follow the store, the others follow it

Bytes within a zone cost nothing. The first node of a zone, in an order that all agree on, follows the store; the others wait for rows at it, pass it over when it is silent for 1.4 s or has lost the store, and the next one takes its place.

--- a/plugins/storereplica/setup.go
+++ b/plugins/storereplica/setup.go
@@ -19,10 +19,19 @@
 	rowsRing = "replica.rows"
 	hintRing = "replica.hints"
 
-	// followWait is the longest poll of a table. A poll on a silent connection
-	// ends a second later; the platform's bound for a new configuration leaves
-	// 5 s from the moment at which the connection went silent.
-	followWait = 3 * time.Second
+	// followWait is the longest poll of the operator's table and of another node.
+	// A node that follows one that freezes, or that loses the store without a
+	// sign, finds out within this time and the slack of the call; the platform
+	// wants a new configuration in force within 2 s.
+	followWait = time.Second
+	// nodeWait is the longest poll of the nodes' table. What it brings late is
+	// told by the nodes' own answers.
+	nodeWait = 10 * time.Second
+	// currentFor is how long a node counts as in touch with the store after an
+	// answer: a poll, its slack and the start of the next.
+	currentFor = followWait + 700*time.Millisecond
+	// nodeBatch gathers the rows of nodes that start together.
+	nodeBatch = 400 * time.Millisecond
 	// listTimeout bounds all pages of a listing.
 	listTimeout = 3 * time.Second
 	// retryLeast and retryMost bound the wait after a failed call to the store.
@@ -38,6 +47,7 @@
 	source  string   // store or the address of a node
 	tables  []string // that the source had listed, for batches of other nodes
 	local   time.Time
+	taken   chan struct{} // closed when the batch is taken over; nil: nobody waits
 }
 
 type batchRing = kernel.Ring[batch]
@@ -53,14 +63,15 @@
 				fx.Provide(
 					func() *port.RowsCell { c := new(port.RowsCell); c.Store(replica.New()); return c },
 					func() *port.ClockCell { return new(port.ClockCell) },
+					func(table port.OperatorTable) *source { return newSource(string(table)) },
 				),
 				port.ProvideInboundRoute(newInboundRoute),
 				kernel.ProvideDuty(newReplica),
-				kernel.ProvideDuty(func(feed port.Feed, out *batchRing, table port.OperatorTable, logger *log.Logger) kernel.Duty {
-					return newWatch("operator-watch", string(table), 0, feed, out, logger)
+				kernel.ProvideDuty(func(in watchIn) kernel.Duty {
+					return in.watch(string(in.Table), followWait, 0).duty("operator-watch")
 				}),
-				kernel.ProvideDuty(func(feed port.Feed, out *batchRing, logger *log.Logger) kernel.Duty {
-					return newWatch("node-watch", port.NodeTable, nodeBatch, feed, out, logger)
+				kernel.ProvideDuty(func(in watchIn) kernel.Duty {
+					return in.watch(port.NodeTable, nodeWait, nodeBatch).duty("node-watch")
 				}),
 				kernel.ProvideDuty(newSync),
 				port.ProvideReadyCheck(func(rows *port.RowsCell, operator port.OperatorTable) port.ReadyCheck {
@@ -71,6 +82,22 @@
 	})
 }
 
+type watchIn struct {
+	fx.In
+	Table  port.OperatorTable
+	Feed   port.Feed
+	Out    *batchRing
+	Rows   *port.RowsCell
+	Source *source
+	Logger *log.Logger
+}
+
+func (in *watchIn) watch(table string, wait, pause time.Duration) *watch {
+	return &watch{
+		table: table, wait: wait, pause: pause, feed: in.Feed, out: in.Out, rows: in.Rows, source: in.Source, logger: in.Logger,
+	}
+}
+
 // backoff returns the wait after n failures in a row, with full jitter above
 // half, so that nodes that failed together do not return together.
 func backoff(n int) time.Duration {
--- /dev/null
+++ b/plugins/storereplica/source.go
@@ -0,0 +1,86 @@
+package storereplica
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+)
+
+// signal wakes all that wait for the next event.
+type signal struct{ next atomic.Pointer[chan struct{}] }
+
+func newSignal() *signal {
+	s := &signal{}
+	ch := make(chan struct{})
+	s.next.Store(&ch)
+	return s
+}
+
+// wait returns a channel that is closed at the next event.
+func (s *signal) wait() <-chan struct{} { return *s.next.Load() }
+
+func (s *signal) fire() {
+	ch := make(chan struct{})
+	close(*s.next.Swap(&ch))
+}
+
+// source says where the node's rows come from. The sync duty alone decides; the
+// watches wait on it and note whether the store answers.
+type source struct {
+	reading  atomic.Bool
+	reads    *signal // reading has changed
+	changed  *signal // the rows have changed, or the store was lost
+	operator string  // table whose contact decides whether this node is current
+	last     atomic.Int64
+}
+
+func newSource(operator string) *source {
+	s := &source{reads: newSignal(), changed: newSignal(), operator: operator}
+	s.reading.Store(true)
+	return s
+}
+
+// awaitReading waits until the node follows the store itself.
+func (s *source) awaitReading(ctx context.Context) bool {
+	for {
+		next := s.reads.wait()
+		if s.reading.Load() {
+			return ctx.Err() == nil
+		}
+		select {
+		case <-next:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+func (s *source) setReading(reading bool) {
+	if s.reading.Swap(reading) == reading {
+		return
+	}
+	if reading {
+		s.last.Store(0)
+	}
+	s.reads.fire()
+}
+
+// contact notes that the store has answered.
+func (s *source) contact(table string) {
+	if table == s.operator && s.last.Swap(time.Now().UnixNano()) == 0 {
+		s.changed.fire()
+	}
+}
+
+// lost notes that the store did not answer, and tells the nodes that wait.
+func (s *source) lost(table string) {
+	if table == s.operator && s.last.Swap(0) != 0 {
+		s.changed.fire()
+	}
+}
+
+// current reports whether what this node knows is what the store says.
+func (s *source) current(now time.Time) bool {
+	last := s.last.Load()
+	return s.reading.Load() && last != 0 && now.Sub(time.Unix(0, last)) < currentFor
+}
--- /dev/null
+++ b/plugins/storereplica/storereplica_test.go
@@ -0,0 +1,225 @@
+package storereplica
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"teaselring/decision/replica"
+	"teaselring/kernel"
+	"teaselring/mesh"
+	"teaselring/port"
+	"teaselring/result"
+)
+
+func TestStoreReplica(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "store.replica")
+}
+
+// scripted is a store whose calls are answered by functions.
+type scripted struct {
+	list   func() (port.Changes, error)
+	follow func(after uint64) (port.Changes, error)
+	lists  atomic.Int64
+}
+
+func (s *scripted) List(context.Context, string) (port.Changes, error) {
+	s.lists.Add(1)
+	return s.list()
+}
+
+func (s *scripted) Follow(_ context.Context, _ string, after uint64, _ time.Duration) (port.Changes, error) {
+	return s.follow(after)
+}
+
+func (*scripted) Write(context.Context, port.Txn) (port.Changes, error) { return port.Changes{}, nil }
+
+func row(key string, revision uint64) replica.Row {
+	return replica.Row{Table: "op", Key: key, Value: []byte(key), Revision: revision}
+}
+
+// watching runs a watch of the table "op" until the test ends.
+func watching(store *scripted, src *source) *batchRing {
+	out := kernel.NewRing[batch]("out", 64, kernel.WaitUntilDeadline)
+	rows := new(port.RowsCell)
+	rows.Store(replica.New())
+	w := &watch{table: "op", wait: time.Millisecond, feed: store, out: out, rows: rows, source: src, logger: kernel.NewLogger(io.Discard)}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { defer close(ended); _ = w.run(ctx) }()
+	DeferCleanup(func() { cancel(); <-ended })
+	return out
+}
+
+func idle(uint64) (port.Changes, error) {
+	time.Sleep(time.Millisecond)
+	return port.Changes{}, nil
+}
+
+var _ = Describe("a watch", func() {
+	It("lists the table and follows from there", func() {
+		followed := make(chan uint64, 1)
+		out := watching(&scripted{
+			list: func() (port.Changes, error) { return port.Changes{Rows: []replica.Row{row("a", 3)}, Revision: 7}, nil },
+			follow: func(after uint64) (port.Changes, error) {
+				select {
+				case followed <- after:
+				default:
+				}
+				return idle(after)
+			},
+		}, newSource("op"))
+		var b batch
+		Eventually(out.C(), "5s").Should(Receive(&b))
+		Expect(b.listed).To(BeTrue())
+		Eventually(followed, "5s").Should(Receive(BeEquivalentTo(7)))
+	})
+
+	// Following on after the store has dropped its history would miss changes.
+	It("lists again when the store has forgotten its history", func() {
+		gone := atomic.Bool{}
+		store := &scripted{
+			list: func() (port.Changes, error) { return port.Changes{Revision: 7}, nil },
+			follow: func(after uint64) (port.Changes, error) {
+				if !gone.Swap(true) {
+					return port.Changes{}, result.HistoryGone.Err()
+				}
+				return idle(after)
+			},
+		}
+		watching(store, newSource("op"))
+		Eventually(store.lists.Load, "5s").Should(BeEquivalentTo(2))
+	})
+
+	It("is not in touch while the store fails, and again when it answers", func() {
+		src, down := newSource("op"), atomic.Bool{}
+		watching(&scripted{
+			list: func() (port.Changes, error) { return port.Changes{Revision: 7}, nil },
+			follow: func(after uint64) (port.Changes, error) {
+				if down.Load() {
+					return port.Changes{}, result.PlatformDown.Err()
+				}
+				return idle(after)
+			},
+		}, src)
+		current := func() bool { return src.current(time.Now()) }
+		Eventually(current, "5s").Should(BeTrue())
+		down.Store(true)
+		Eventually(current, "5s").Should(BeFalse())
+		down.Store(false)
+		Eventually(current, "5s").Should(BeTrue())
+	})
+
+	It("makes no calls while the node follows another", func() {
+		src := newSource("op")
+		src.setReading(false)
+		store := &scripted{list: func() (port.Changes, error) { return port.Changes{Revision: 7}, nil }, follow: idle}
+		watching(store, src)
+		Consistently(store.lists.Load, "100ms").Should(BeZero())
+		src.setReading(true)
+		Eventually(store.lists.Load, "5s").Should(BeEquivalentTo(1))
+	})
+})
+
+var _ = Describe("a node that others follow", func() {
+	var (
+		rows   *port.RowsCell
+		src    *source
+		server *httptest.Server
+	)
+	BeforeEach(func() {
+		rows, src = new(port.RowsCell), newSource("op")
+		rows.Store(replica.New().List("op", []replica.Row{row("a", 3)}, 3))
+		server = httptest.NewServer(newInboundRoute(rows, new(port.ClockCell), src).Handler)
+		DeferCleanup(server.Close)
+	})
+	ask := func(seen string, wait string) *newerRows {
+		request, err := http.NewRequest(http.MethodGet, server.URL, nil)
+		Expect(err).NotTo(HaveOccurred())
+		request.Header.Set(port.SeenHeader, seen)
+		request.Header.Set(waitHeader, wait)
+		answer, err := http.DefaultClient.Do(request)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = answer.Body.Close() }()
+		newer, err := readRows(answer.Body)
+		Expect(err).NotTo(HaveOccurred())
+		return newer
+	}
+
+	It("tells rows that are newer at once", func() {
+		src.contact("op")
+		newer := ask("op=2", "1000")
+		Expect(newer.Rows).To(ConsistOf(row("a", 3)))
+		Expect(newer.Listed).To(ConsistOf("op"))
+		Expect(newer.Current).To(BeTrue())
+	})
+
+	It("wakes those that wait when rows change", func() {
+		src.contact("op")
+		go func() {
+			time.Sleep(50 * time.Millisecond)
+			next, _ := rows.Load().Merge([]replica.Row{row("b", 4)})
+			rows.Store(next)
+			src.changed.fire()
+		}()
+		Expect(ask("op=3", "1000").Rows).To(ConsistOf(row("b", 4)))
+	})
+
+	// The nodes of a zone would keep an older configuration while the one that they
+	// follow has lost the store.
+	It("says that it has lost the store", func() {
+		src.contact("op")
+		go func() { time.Sleep(50 * time.Millisecond); src.lost("op") }()
+		Expect(ask("op=3", "1000").Current).To(BeFalse())
+	})
+})
+
+var _ = Describe("the node that a node follows", func() {
+	view := &mesh.View{Members: []mesh.Member{{Node: "a", Zone: "z"}, {Node: "b", Zone: "z"}, {Node: "c", Zone: "z"}, {Node: "d", Zone: "y"}}}
+	nobody := func(mesh.NodeID) bool { return false }
+
+	It("is the same for all nodes of a zone, and one of them follows the store", func() {
+		readers, followed := 0, map[mesh.NodeID]bool{}
+		for _, self := range []mesh.NodeID{"a", "b", "c"} {
+			reads, from := replica.Source(view, mesh.Identity{Node: self, Zone: "z"}, nobody)
+			if reads {
+				readers++
+			} else {
+				followed[from.Node] = true
+			}
+		}
+		Expect(readers).To(Equal(1))
+		Expect(followed).To(HaveLen(1))
+	})
+
+	It("is the store when all others are silent", func() {
+		for _, self := range []mesh.NodeID{"a", "b", "c"} {
+			reads, _ := replica.Source(view, mesh.Identity{Node: self, Zone: "z"}, func(mesh.NodeID) bool { return true })
+			Expect(reads).To(BeTrue())
+		}
+	})
+})
+
+var _ = Describe("rows between nodes", func() {
+	It("survive encoding", func() {
+		body, err := writeRows(&newerRows{Rows: []replica.Row{row("a", 3)}, Listed: []string{"op"}, Clock: time.Second})
+		Expect(err).NotTo(HaveOccurred())
+		newer, err := readRows(bytes.NewReader(body))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(newer).To(Equal(&newerRows{Rows: []replica.Row{row("a", 3)}, Listed: []string{"op"}, Clock: time.Second}))
+	})
+
+	It("that can't be read are refused", func() {
+		_, err := readRows(bytes.NewReader([]byte("garbage")))
+		Expect(err).To(HaveOccurred())
+	})
+})
--- a/plugins/storereplica/sync.go
+++ b/plugins/storereplica/sync.go
@@ -1,9 +1,13 @@
 package storereplica
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
 	"io"
 	"net/http"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -12,83 +16,185 @@
 
 	"teaselring/decision/replica"
 	"teaselring/kernel"
+	"teaselring/mesh"
 	"teaselring/port"
+	"teaselring/result"
 )
 
 const (
 	rowsPath = "/rows"
+	// waitHeader is the time in ms for which a question waits for newer rows.
+	waitHeader = "Teasel-Wait-Ms"
 	// syncDelay is the time for the node's own poll to bring what another node
 	// has already; the store answers within a few ms.
 	syncDelay = 150 * time.Millisecond
-	// syncTimeout bounds one question to another node.
-	syncTimeout = time.Second
+	// syncTimeout is what a question to another node may take beyond its wait until
+	// the answer begins, bodyTimeout what the answer may take.
+	syncTimeout = 400 * time.Millisecond
+	bodyTimeout = 1500 * time.Millisecond
 	// maxSync is in bytes; the rows of a node's replica are far below.
 	maxSync = 16 << 20
+	// firstContact is the time for the first answer of the store to a node that
+	// begins to follow it.
+	firstContact = 300 * time.Millisecond
+	// silentFor is the time for which a node that did not answer, or that has lost
+	// the store, is passed over.
+	silentFor = 3 * time.Second
 )
 
+// newerRows is the answer to another node that asks for rows.
+type newerRows struct {
+	Rows    []replica.Row `cbor:"1,keyasint"`
+	Listed  []string      `cbor:"2,keyasint"` // tables that the sender has listed
+	Current bool          `cbor:"3,keyasint"` // the sender follows the store and is in touch with it
+	Clock   time.Duration `cbor:"4,keyasint"` // of the store, 0 when the sender does not know it
+}
+
 type syncIn struct {
 	fx.In
-	Hints  *port.RowsHintRing
-	Out    *batchRing
-	Rows   *port.RowsCell
-	Logger *log.Logger
+	Identity mesh.Identity
+	Hints    *port.RowsHintRing
+	Out      *batchRing
+	Rows     *port.RowsCell
+	View     *port.ViewCell
+	Source   *source
+	Logger   *log.Logger
 }
 
-// peerSync is the duty that asks a node that is ahead.
+// peerSync is the duty that follows nodes of its zone that follow the store, and
+// asks nodes that are ahead.
 type peerSync struct {
 	syncIn
 	client *http.Client
+	silent map[mesh.NodeID]time.Time // until when a node is passed over
 }
 
 func newSync(in syncIn) kernel.Duty {
-	s := &peerSync{syncIn: in, client: &http.Client{Timeout: syncTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
+	s := &peerSync{
+		syncIn: in, client: &http.Client{Transport: &http.Transport{IdleConnTimeout: 5 * time.Second, DisableCompression: true}},
+		silent: map[mesh.NodeID]time.Time{},
+	}
 	return kernel.Duty{
-		Name: "peer-sync", Owns: "nothing", In: []string{hintRing}, Out: []string{rowsRing}, Run: s.run,
+		Name: "peer-sync", Owns: "which nodes are followed or passed over", In: []string{hintRing}, Out: []string{rowsRing}, Run: s.run,
 	}
 }
 
 func (s *peerSync) run(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case hint := <-s.Hints.C():
-			s.follow(ctx, &hint)
+	for ctx.Err() == nil {
+		reads, from := replica.Source(s.View.Load(), s.Identity, s.isSilent)
+		listed := s.Rows.Load().Listed(port.NodeTable) && s.Rows.Load().Listed(s.Source.operator)
+		s.Source.setReading(reads || !listed)
+		if reads || !listed {
+			s.awaitHint(ctx)
+			continue
 		}
+		s.follow(ctx, from)
 	}
+	return nil
 }
 
-func (s *peerSync) follow(ctx context.Context, hint *port.RowsHint) {
+func (s *peerSync) isSilent(id mesh.NodeID) bool { return time.Now().Before(s.silent[id]) }
+
+// awaitHint waits for a hint while the node follows the store, and looks again
+// at its place among the nodes of its zone from time to time.
+func (s *peerSync) awaitHint(ctx context.Context) {
+	timer := time.NewTimer(followWait)
+	defer timer.Stop()
+	select {
+	case hint := <-s.Hints.C():
+		s.takeHint(ctx, &hint)
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// takeHint asks a node that is ahead, unless the node's own poll was about to
+// bring the same.
+func (s *peerSync) takeHint(ctx context.Context, hint *port.RowsHint) {
 	if !s.Rows.Load().Seen().Behind(hint.Seen) {
 		return
 	}
 	pause(ctx, syncDelay)
-	seen := s.Rows.Load().Seen()
-	if !seen.Behind(hint.Seen) {
+	if !s.Rows.Load().Seen().Behind(hint.Seen) {
 		return
 	}
-	newer, err := s.ask(ctx, hint.Peer, seen)
-	if err != nil {
+	if newer, err := s.ask(ctx, hint.Peer, 0); err != nil {
 		s.Logger.Warn().Str("peer", hint.Peer).Err(err).Msg("rows of another node not read")
-		return
+	} else {
+		s.take(ctx, hint.Peer, newer)
+	}
+}
+
+// follow waits for newer rows of a node that follows the store. One that does
+// not answer in time or has lost the store is passed over for a while.
+func (s *peerSync) follow(ctx context.Context, m *mesh.Member) {
+	newer, err := s.ask(ctx, m.PeerAddress, followWait)
+	if err == nil {
+		s.take(ctx, m.PeerAddress, newer)
+		if newer.Current {
+			return
+		}
+		err = result.PlatformDown.Errorf("the node has lost the store")
+	}
+	if ctx.Err() == nil {
+		s.silent[m.Node] = time.Now().Add(silentFor)
+		s.Logger.Warn().Str("node", string(m.Node)).Err(err).Msg("node no longer followed")
+	}
+}
+
+func (s *peerSync) take(ctx context.Context, peer string, newer *newerRows) {
+	s.Logger.Debug().Str("peer", peer).Int("rows", len(newer.Rows)).Msg("rows taken from another node")
+	b := batch{changes: port.Changes{Rows: newer.Rows, Clock: newer.Clock}, source: peer, tables: newer.Listed, local: time.Now(), taken: make(chan struct{})}
+	if s.Out.Send(ctx, b) != nil {
+		return // the node stops
+	}
+	select {
+	case <-b.taken: // so that the next question does not ask for the same
+	case <-ctx.Done():
 	}
-	s.Logger.Info().Str("peer", hint.Peer).Int("rows", len(newer.Rows)).Msg("rows taken from another node")
-	b := batch{changes: port.Changes{Rows: newer.Rows}, source: hint.Peer, tables: newer.Listed, local: time.Now()}
-	_ = s.Out.Send(ctx, b) // fails only when the node stops
 }
 
-func (s *peerSync) ask(ctx context.Context, peer string, seen replica.Seen) (*newerRows, error) {
+func (s *peerSync) ask(ctx context.Context, peer string, wait time.Duration) (*newerRows, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer+rowsPath, nil)
 	if err != nil {
 		return nil, err
 	}
-	request.Header.Set(port.SeenHeader, port.FormatSeen(seen))
+	request.Header.Set(port.SeenHeader, port.FormatSeen(s.Rows.Load().Seen()))
+	request.Header.Set(waitHeader, strconv.FormatInt(wait.Milliseconds(), 10))
+	deadline := time.AfterFunc(wait+syncTimeout, cancel)
+	defer func() { deadline.Stop() }()
 	answer, err := s.client.Do(request)
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = answer.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxSync))
+	if deadline.Stop() {
+		deadline = time.AfterFunc(bodyTimeout, cancel)
+	}
+	return readRows(answer.Body)
+}
+
+// writeRows encodes an answer. A configuration shrinks to about an eighth, which
+// counts where one node on a slow link tells all others of its zone.
+func writeRows(answer *newerRows) ([]byte, error) {
+	var out bytes.Buffer
+	compressor, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if err := cbor.NewEncoder(compressor).Encode(answer); err != nil {
+		return nil, err
+	}
+	if err := compressor.Close(); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+func readRows(in io.Reader) (*newerRows, error) {
+	body, err := io.ReadAll(io.LimitReader(flate.NewReader(in), maxSync))
 	if err != nil {
 		return nil, err
 	}
@@ -96,21 +202,89 @@
 	return &newer, cbor.Unmarshal(body, &newer)
 }
 
-// newInboundRoute answers other nodes that ask for rows.
-func newInboundRoute(rows *port.RowsCell, operator port.OperatorTable) port.InboundRoute {
-	return port.InboundRoute{Path: rowsPath, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		set := rows.Load()
-		answer := newerRows{Rows: set.Newer(port.ParseSeen(r.Header.Get(port.SeenHeader)))}
-		for _, table := range []string{string(operator), port.NodeTable} {
-			if set.Listed(table) {
-				answer.Listed = append(answer.Listed, table)
-			}
+// inbound answers other nodes that ask for rows.
+type inbound struct {
+	rows   *port.RowsCell
+	clock  *port.ClockCell
+	source *source
+	last   atomic.Pointer[encoded]
+}
+
+// encoded is the last answer with rows. The nodes of a zone ask for the same.
+type encoded struct {
+	set     *replica.Set
+	seen    string
+	current bool
+	at      time.Time
+	body    []byte
+}
+
+// encodedFor is how long an answer is used again; it tells the store's clock.
+const encodedFor = 200 * time.Millisecond
+
+func newInboundRoute(rows *port.RowsCell, clock *port.ClockCell, src *source) port.InboundRoute {
+	return port.InboundRoute{Path: rowsPath, Handler: &inbound{rows: rows, clock: clock, source: src}}
+}
+
+// ServeHTTP answers one question.
+func (i *inbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	text := r.Header.Get(port.SeenHeader)
+	seen := port.ParseSeen(text)
+	wait, _ := strconv.ParseInt(r.Header.Get(waitHeader), 10, 64) // none: no wait
+	set := awaitNewer(r.Context(), i.rows, i.source, seen, min(time.Duration(wait)*time.Millisecond, followWait))
+	body, err := i.encode(set, text, seen)
+	if err != nil {
+		port.Refuse(w, err)
+		return
+	}
+	_, _ = w.Write(body)
+}
+
+func (i *inbound) encode(set *replica.Set, text string, seen replica.Seen) ([]byte, error) {
+	now := time.Now()
+	current := i.source.current(now)
+	if e := i.last.Load(); e != nil && e.set == set && e.seen == text && e.current == current && now.Sub(e.at) < encodedFor {
+		return e.body, nil
+	}
+	answer := &newerRows{Rows: set.Newer(seen), Current: current}
+	if c := i.clock.Load(); c != nil {
+		answer.Clock = c.Now(now)
+	}
+	for _, table := range []string{i.source.operator, port.NodeTable} {
+		if set.Listed(table) {
+			answer.Listed = append(answer.Listed, table)
 		}
-		body, err := cbor.Marshal(answer)
-		if err != nil {
-			port.Refuse(w, err)
-			return
+	}
+	body, err := writeRows(answer)
+	if err == nil {
+		i.last.Store(&encoded{set: set, seen: text, current: current, at: now, body: body})
+	}
+	return body, err
+}
+
+// awaitNewer returns the rows once they are newer than those seen, the store is
+// lost or the wait is over. A node that has just begun to follow the store gets a
+// moment for its first answer: all nodes of the zone ask it at once then.
+func awaitNewer(ctx context.Context, rows *port.RowsCell, src *source, seen replica.Seen, wait time.Duration) *replica.Set {
+	until, touch := time.Now().Add(wait), time.Now().Add(min(wait, firstContact))
+	for {
+		next := src.changed.wait()
+		set, now := rows.Load(), time.Now()
+		end := until
+		if !src.current(now) {
+			end = touch
 		}
-		_, _ = w.Write(body)
-	})}
+		if seen.Behind(set.Seen()) || !now.Before(end) {
+			return set
+		}
+		timer := time.NewTimer(end.Sub(now))
+		select {
+		case <-next:
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return set
+		}
+		timer.Stop()
+	}
 }
--- /dev/null
+++ b/plugins/storereplica/watch.go
@@ -0,0 +1,123 @@
+package storereplica
+
+import (
+	"context"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"teaselring/kernel"
+	"teaselring/port"
+	"teaselring/result"
+)
+
+// watch follows one table of the store while the node is a reader.
+type watch struct {
+	table  string
+	wait   time.Duration // of one poll
+	pause  time.Duration // after a change, so that changes that come together are read together
+	feed   port.Feed
+	out    *batchRing
+	rows   *port.RowsCell
+	source *source
+	logger *log.Logger
+
+	after    uint64
+	listed   bool
+	failures int
+}
+
+func (w *watch) duty(name string) kernel.Duty {
+	return kernel.Duty{Name: name, Owns: "the revision up to which it has read its table", Out: []string{rowsRing}, Run: w.run}
+}
+
+func (w *watch) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if !w.source.awaitReading(ctx) {
+			return nil
+		}
+		if err := w.step(ctx); err != nil {
+			w.failed(ctx, err)
+			continue
+		}
+		w.source.contact(w.table)
+		if w.failures > 0 {
+			w.logger.Info().Str("table", w.table).Int("failures", w.failures).Msg("store regained")
+			w.failures = 0
+		}
+	}
+	return nil
+}
+
+func (w *watch) step(ctx context.Context) error {
+	set := w.rows.Load()
+	if !w.listed && set.Listed(w.table) {
+		// Other nodes told the rows while this one was no reader.
+		w.listed, w.after = true, set.Seen()[w.table]
+	}
+	if !w.listed {
+		return w.list(ctx)
+	}
+	changes, err := w.feed.Follow(ctx, w.table, w.after, w.wait)
+	if err != nil {
+		return err
+	}
+	w.after = max(w.after, changes.Revision)
+	if err := w.send(ctx, batch{table: w.table, changes: changes, source: "store"}); err != nil {
+		return err
+	}
+	if len(changes.Rows) > 0 && w.pause > 0 {
+		pause(ctx, w.pause)
+	}
+	return nil
+}
+
+func (w *watch) list(ctx context.Context) error {
+	listing, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	changes, err := w.feed.List(listing, w.table)
+	if err != nil {
+		return err
+	}
+	w.after, w.listed = changes.Revision, true
+	return w.send(ctx, batch{table: w.table, changes: changes, listed: true, source: "store"})
+}
+
+func (w *watch) send(ctx context.Context, b batch) error {
+	b.local = time.Now()
+	return w.out.Send(ctx, b)
+}
+
+func (w *watch) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if result.Of(err) == result.HistoryGone {
+		w.listed = false
+		w.logger.Info().Str("table", w.table).Msg("store forgot its history, listing again")
+		w.relist(ctx)
+		return
+	}
+	w.source.lost(w.table)
+	if w.failures == 0 {
+		w.logger.Warn().Str("table", w.table).Err(err).Msg("store lost")
+	}
+	pause(ctx, backoff(w.failures))
+	w.failures++
+}
+
+// relist lists at once: rows of other nodes do not stand for a lost history.
+func (w *watch) relist(ctx context.Context) {
+	if err := w.list(ctx); err != nil {
+		w.failed(ctx, err)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
