Test teasel-sidecar as processes; let slow first answers count less

It found that a node did not send to its own server for 30 s after a slow first answer: the first sample was taken whole and trusted for 10 s. Now it counts as one more sample of the service, and history fades within 3 s.

--- a/decision/routing/endpoint.go
+++ b/decision/routing/endpoint.go
@@ -92,9 +92,10 @@
 	return e.others * math.Exp(-float64(now.Sub(e.reported))/float64(p.LoadTrust))
 }
 
-// learn updates averages and penalties from an outcome of a call that is scale
-// times as long as the service's average call.
-func (e *endpoint) learn(o *mesh.Outcome, scale float64, now time.Time, p *Params) {
+// learn updates averages and penalties from an outcome. The service is that of
+// an answered call. The first answer of an endpoint counts as one more sample of
+// the service, since the first one after a start is often slow.
+func (e *endpoint) learn(o *mesh.Outcome, s *service, now time.Time, p *Params) {
 	weight := p.weight(e.observed, now)
 	switch {
 	case unreachable(o):
@@ -107,9 +108,12 @@
 		}
 	case shed(o):
 		e.full(now, p)
-	case answered(o):
+	case s != nil:
 		e.silent = 0
-		e.latency = average(e.latency, float64(o.Duration)/scale, weight)
+		if e.latency == 0 {
+			e.latency = s.expected
+		}
+		e.latency = average(e.latency, float64(o.Duration)/s.scale(o.Route), weight)
 		e.recover(now)
 	}
 	e.observed = now
--- a/decision/routing/near_test.go
+++ b/decision/routing/near_test.go
@@ -78,3 +78,25 @@
 		Expect(p.weight(last, last.Add(time.Minute))).To(Equal(maxSmoothing))
 	})
 })
+
+var _ = Describe("an endpoint whose first answer was slow", func() {
+	// A node never sent to its own server again for 30 s because the first call to it
+	// took ten times as long as the others.
+	It("gets calls again within ten seconds", func() {
+		r, now := nearAndFar(), start
+		for range 20 {
+			r.answer("far", "x", time.Millisecond, now)
+		}
+		r.answer("far-home", "x", 10*time.Millisecond, now)
+		call := &mesh.Call{Service: "s", Route: "x"}
+		rnd := rand.New(rand.NewPCG(1, 1))
+		later := now.Add(10 * time.Second)
+		picked := map[mesh.NodeID]int{}
+		for range 50 {
+			t, err := r.Pick(&Query{Call: call}, nil, rnd, later)
+			Expect(err).NotTo(HaveOccurred())
+			picked[t.Node]++
+		}
+		Expect(picked).To(HaveKey(mesh.NodeID("far-home")))
+	})
+})
--- a/decision/routing/router.go
+++ b/decision/routing/router.go
@@ -27,7 +27,8 @@
 	ReportSmoothing float64
 	// LoadTrust is the time in which a reported load loses most of its weight.
 	LoadTrust time.Duration
-	// HistoryTrust is the same for averages of an endpoint that gets no calls.
+	// HistoryTrust is the same for averages of an endpoint that gets no calls. An
+	// endpoint that looked slow at first gets calls again after three times that.
 	HistoryTrust time.Duration
 	// Smoothing is the least weight of a new sample in latency and failure
 	// averages. Samples that come seldom weigh more: averages cover about the last
@@ -60,7 +61,7 @@
 		RegionCost: time.Millisecond, RemoteCost: 60 * time.Millisecond,
 		ZoneSpill: 0.25, RegionSpill: 0.9, SlowFactor: 1.25,
 		ReportWeight: 0.7, ReportSmoothing: 0.5, LoadTrust: 500 * time.Millisecond,
-		HistoryTrust: 10 * time.Second, Smoothing: 0.01, SmoothingSpan: 3 * time.Second, FailureCost: 10, StayNear: 0.7,
+		HistoryTrust: 3 * time.Second, Smoothing: 0.01, SmoothingSpan: 3 * time.Second, FailureCost: 10, StayNear: 0.7,
 		PenaltyBase: 100 * time.Millisecond, PenaltyMax: 5 * time.Second, TrialLease: 5 * time.Second,
 		SilentCalls: 3, SilentAfter: 500 * time.Millisecond,
 	}
@@ -219,10 +220,10 @@
 	s := r.byName[o.Target.Service]
 	if s != nil && answered(&o) {
 		s.learn(&o, now, &r.params)
-		e.learn(&o, s.scale(o.Route), now, &r.params)
+		e.learn(&o, s, now, &r.params)
 		return
 	}
-	e.learn(&o, 1, now, &r.params)
+	e.learn(&o, nil, now, &r.params)
 }
 
 // Expected returns the average time of an answer of the service, or 0 when
--- a/test/harness/harness.go
+++ b/test/harness/harness.go
@@ -86,7 +86,7 @@
 	if err != nil {
 		return "", err
 	}
-	command := exec.Command("go", "build", "-o", dir, "./cmd/teasel-node", "./cmd/teaselctl", "./test/platform", "./test/upstream")
+	command := exec.Command("go", "build", "-o", dir, "./cmd/teasel-node", "./cmd/teasel-sidecar", "./cmd/teaselctl", "./test/platform", "./test/upstream")
 	command.Dir = filepath.Dir(strings.TrimSpace(string(module)))
 	if output, err := command.CombinedOutput(); err != nil {
 		return dir, fmt.Errorf("%w\n%s", err, output)
--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -17,6 +17,7 @@
 	h    *Harness
 	path string
 	args []string
+	env  []string // in addition to the test's own
 	run  *run
 }
 
@@ -30,7 +31,13 @@
 // <name>.log in the harness's directory.
 func (h *Harness) Start(name, binary string, args ...string) *Process {
 	h.tb.Helper()
-	p := &Process{Name: name, h: h, path: h.binary(binary), args: args}
+	return h.StartWith(nil, name, binary, args...)
+}
+
+// StartWith is Start with further variables of the environment, as "NAME=value".
+func (h *Harness) StartWith(env []string, name, binary string, args ...string) *Process {
+	h.tb.Helper()
+	p := &Process{Name: name, h: h, path: h.binary(binary), args: args, env: env}
 	p.start()
 	h.tb.Cleanup(func() {
 		p.Kill()
@@ -52,6 +59,7 @@
 	defer func() { _ = output.Close() }()
 	command := exec.Command(p.path, p.args...)
 	command.Stdout, command.Stderr = output, output
+	command.Env = append(os.Environ(), p.env...)
 	// A test process that is killed takes its children along.
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
