--- a/decision/rollout/evidence.go
+++ b/decision/rollout/evidence.go
@@ -19,6 +19,10 @@
 	leastFailures  = 3
 	excessFailures = 0.1
 
+	// leastOld is the number of calls of the old version on a route without which
+	// nothing is compared there: some routes fail whatever the version.
+	leastOld = 5
+
 	// A version is slow when the mean time of at least leastSlow calls on a route is
 	// slowFactor times that of the old version. Servers differ in speed by up to 3
 	// to 1.
@@ -69,7 +73,10 @@
 // Evidence gathers counts over a sliding window. It is not safe for concurrent use.
 type Evidence struct {
 	slots []slot
-	seen  map[string]time.Time // first sight of each server of either version
+	// old counts the old version's calls since the move began. Once the new version
+	// gets all calls, it is what remains to compare with.
+	old  map[mesh.RouteID]*Count
+	seen map[string]time.Time // first sight of each server of either version
 }
 
 type slot struct {
@@ -78,7 +85,9 @@
 }
 
 // NewEvidence returns empty evidence.
-func NewEvidence() *Evidence { return &Evidence{seen: map[string]time.Time{}} }
+func NewEvidence() *Evidence {
+	return &Evidence{old: map[mesh.RouteID]*Count{}, seen: map[string]time.Time{}}
+}
 
 // Observe counts the outcome of a call, if it says something about a version.
 func (e *Evidence) Observe(r *mesh.Rollout, o *mesh.Outcome, now time.Time) {
@@ -123,9 +132,14 @@
 // Add counts what another node observed.
 func (e *Evidence) Add(routes []Counts, now time.Time) {
 	for i := range routes {
-		c := e.route(routes[i].Route, now)
-		c.Old.add(&routes[i].Old)
-		c.New.add(&routes[i].New)
+		r := &routes[i]
+		c := e.route(r.Route, now)
+		c.Old.add(&r.Old)
+		c.New.add(&r.New)
+		if e.old[r.Route] == nil {
+			e.old[r.Route] = &Count{}
+		}
+		e.old[r.Route].add(&r.Old)
 	}
 }
 
@@ -147,20 +161,18 @@
 
 // Bad returns why the new version is bad, or "" while nothing shows that it is.
 func (e *Evidence) Bad(now time.Time) string {
-	all, sums := &Counts{}, map[mesh.RouteID]*Counts{}
-	for _, s := range e.slots {
-		if now.Sub(s.at) > windowSpan {
-			continue
+	all := &Counts{}
+	sums := e.window(now)
+	for id, c := range sums {
+		if old := e.old[id]; c.Old.Calls < leastOld && old != nil {
+			c.Old = *old
 		}
-		for id, c := range s.routes {
-			if sums[id] == nil {
-				sums[id] = &Counts{Route: id}
-			}
-			for _, sum := range []*Counts{all, sums[id]} {
-				sum.Old.add(&c.Old)
-				sum.New.add(&c.New)
-			}
+		if c.Old.Calls < leastOld {
+			delete(sums, id)
+			continue
 		}
+		all.Old.add(&c.Old)
+		all.New.add(&c.New)
 	}
 	if why := all.bad(); why != "" {
 		return "on all routes, " + why
@@ -173,6 +185,24 @@
 	return ""
 }
 
+// window returns the counts of each route over the last windowSpan.
+func (e *Evidence) window(now time.Time) map[mesh.RouteID]*Counts {
+	sums := map[mesh.RouteID]*Counts{}
+	for _, s := range e.slots {
+		if now.Sub(s.at) > windowSpan {
+			continue
+		}
+		for id, c := range s.routes {
+			if sums[id] == nil {
+				sums[id] = &Counts{Route: id}
+			}
+			sums[id].Old.add(&c.Old)
+			sums[id].New.add(&c.New)
+		}
+	}
+	return sums
+}
+
 func (c *Counts) bad() string {
 	if c.New.Failures >= leastFailures && c.New.failed() > 2*c.Old.failed()+excessFailures {
 		return fmt.Sprintf("%d of %d calls failed, of the old version %d of %d", c.New.Failures, c.New.Calls, c.Old.Failures, c.Old.Calls)
@@ -186,20 +216,12 @@
 // Take returns what was counted and forgets it, so that a report holds what is
 // new since the last one.
 func (e *Evidence) Take() []Counts {
-	sums := map[mesh.RouteID]*Counts{}
-	for _, s := range e.slots {
-		for id, c := range s.routes {
-			if sums[id] == nil {
-				sums[id] = &Counts{Route: id}
-			}
-			sums[id].Old.add(&c.Old)
-			sums[id].New.add(&c.New)
+	var routes []Counts
+	if n := len(e.slots); n > 0 {
+		for _, c := range e.window(e.slots[n-1].at) {
+			routes = append(routes, *c)
 		}
 	}
 	e.slots = nil
-	routes := make([]Counts, 0, len(sums))
-	for _, c := range sums {
-		routes = append(routes, *c)
-	}
 	return routes
 }
