Let calls that leave their zone use free slots only; bound the log

Cause: in overload calls refused in their zone queued in others, in front of the calls of those zones. A call that leaves a zone with servers now waits 40 ms for a slot at most. Headers between nodes no longer reach callers.

--- a/cmd/internal/nodecommand/command.go
+++ b/cmd/internal/nodecommand/command.go
@@ -17,11 +17,11 @@
 // Settings is the file that is read when none is named; empty: none.
 func New(program, short, settings string) *cobra.Command {
 	root := &cobra.Command{Use: program, Short: short, SilenceUsage: true}
-	root.AddCommand(runCommand(settings), checkCommand(settings), pluginsCommand(), versionCommand(program))
+	root.AddCommand(runCommand(program, settings), checkCommand(settings), pluginsCommand(), versionCommand(program))
 	return root
 }
 
-func runCommand(settings string) *cobra.Command {
+func runCommand(program, settings string) *cobra.Command {
 	var file string
 	c := &cobra.Command{
 		Use:   "run",
@@ -32,7 +32,13 @@
 			if err != nil {
 				return err
 			}
-			os.Exit(kernel.Run(kernel.Options(loaded, kernel.NewLogger(os.Stdout))))
+			output := kernel.NewLogWriter(os.Stdout)
+			logger := kernel.NewLogger(output)
+			logger.Info().Str("program", program).Int("pid", os.Getpid()).Msg("started")
+			code := kernel.Run(kernel.Options(loaded, logger))
+			logger.Info().Str("program", program).Int("exit", code).Msg("stopped")
+			output.Close()
+			os.Exit(code)
 			return nil
 		},
 	}
--- a/decision/routing/choose.go
+++ b/decision/routing/choose.go
@@ -42,7 +42,19 @@
 		return mesh.Target{}, result.NoEndpoint.Errorf(
 			"service %q has no usable upstream of version %q (%d tried)", q.Call.Service, first, len(q.Tried))
 	}
-	return best.target(), nil
+	target := best.target()
+	target.Spill = r.distance(&best.member) != sameZone && r.servedNear(s, best.member.Endpoint.Version)
+	return target, nil
+}
+
+// servedNear reports whether the own zone has a ready endpoint of a version.
+func (r *Router) servedNear(s *service, v mesh.UpstreamVersion) bool {
+	for _, e := range s.endpoints {
+		if e.member.Endpoint.Version == v && e.member.Ready() && r.distance(&e.member) == sameZone {
+			return true
+		}
+	}
+	return false
 }
 
 // candidates returns the endpoints that may get a new call, by distance.
--- a/decision/routing/near_test.go
+++ b/decision/routing/near_test.go
@@ -100,3 +100,25 @@
 		Expect(picked).To(HaveKey(mesh.NodeID("far-home")))
 	})
 })
+
+var _ = Describe("a call that leaves its zone", func() {
+	// In overload such calls queued in other zones in front of the calls of those
+	// zones; bytes crossed and nothing was gained.
+	It("is marked, unless its zone has no server", func() {
+		r := nearAndFar()
+		call := &mesh.Call{Service: "s", Route: "x", Aim: start.Add(time.Second)}
+		rnd := rand.New(rand.NewPCG(1, 1))
+		t, err := r.Pick(&Query{Call: call, Tried: []mesh.NodeID{"far-home"}}, nil, rnd, start)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(t.Spill).To(BeTrue())
+		t, err = r.Pick(&Query{Call: call, Tried: []mesh.NodeID{"far"}}, nil, rnd, start)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(t.Spill).To(BeFalse())
+		view := *r.view
+		view.Members = view.Members[:1]
+		r.Observe(&view)
+		t, err = r.Pick(&Query{Call: call}, nil, rnd, start)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(t.Spill).To(BeFalse())
+	})
+})
--- a/mesh/call.go
+++ b/mesh/call.go
@@ -56,6 +56,9 @@
 	Zone        Zone
 	Service     ServiceID
 	Version     UpstreamVersion
+	// Spill is set for a target outside the zone of the entry node although the
+	// service has ready upstreams there.
+	Spill bool
 }
 
 // Outcome is what an entry node learned from one attempt.
--- a/plugins/callrelay/call.go
+++ b/plugins/callrelay/call.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"teaselring/kernel"
@@ -20,6 +21,10 @@
 // not reach a server.
 const maxReroutes = 6
 
+// spillWait is the longest wait for a slot outside the zone: calls that leave it
+// are to use slots that are free there, not to join a queue of that zone's calls.
+const spillWait = 40 * time.Millisecond
+
 // call is one request at its entry node, over all its attempts.
 type call struct {
 	*entry
@@ -120,6 +125,9 @@
 	outcome.Target = target
 	began := time.Now()
 	a := &wire.Attempt{ID: mesh.AttemptID(c.id + "/" + strconv.Itoa(len(c.tried))), Call: c.call, Target: target}
+	if start := began.Add(spillWait); target.Spill && start.Before(a.Call.StartBy) {
+		a.Call.StartBy = start
+	}
 	answer, load, err := c.run(ctx, a)
 	outcome.Duration, outcome.Load = time.Since(began), load
 	describe(&outcome, answer, err)
@@ -223,8 +231,40 @@
 	return time.Duration(share * float64(target))
 }
 
-// log writes the line that ends a call.
+// successLines is the number of lines a second about calls that were answered at
+// the first attempt. Further ones are counted in the next line.
+const successLines = 100
+
+// successLog bounds the lines of plain successes.
+type successLog struct {
+	second  atomic.Int64 // Unix time
+	written atomic.Int64 // lines in that second
+	leftOut atomic.Int64 // since the last line
+}
+
+// allow reports whether a line may be written now, and how many were left out
+// before it.
+func (s *successLog) allow(now time.Time) (leftOut int64, ok bool) {
+	if second := now.Unix(); s.second.Swap(second) != second {
+		s.written.Store(0)
+	}
+	if s.written.Add(1) > successLines {
+		s.leftOut.Add(1)
+		return 0, false
+	}
+	return s.leftOut.Swap(0), true
+}
+
+// log writes the line that ends a call. Plain successes are bounded, what failed
+// or took more than one attempt is not.
 func (c *call) log(answer *port.Answer, err error) {
+	var leftOut int64
+	if err == nil && answer.Status < http.StatusInternalServerError && len(c.tried) == 1 {
+		var ok bool
+		if leftOut, ok = c.successes.allow(time.Now()); !ok {
+			return
+		}
+	}
 	line := c.Logger.Info().Str("request", c.id).Str("route", string(c.route.ID)).Uint64("version", uint64(c.version)).
 		Str("node", string(c.last.Target.Node)).Int("sends", c.sends).Int("picks", len(c.tried)).
 		Dur("took", time.Since(c.request.Arrived))
@@ -233,5 +273,8 @@
 		line.Int("code", x.Code.Number).Str("ran", x.Code.Ran.String()).Int("status", refusalStatus(x.Code)).Err(err).Msg("call refused")
 		return
 	}
+	if leftOut > 0 {
+		line.Int64("left_out", leftOut)
+	}
 	line.Int("status", answer.Status).Msg("call answered")
 }
--- a/plugins/callrelay/entry.go
+++ b/plugins/callrelay/entry.go
@@ -21,8 +21,9 @@
 // entry accepts callers' requests and carries each to an owner node.
 type entry struct {
 	*relayIn
-	owner *owner
-	pool  *pool
+	owner     *owner
+	pool      *pool
+	successes successLog
 }
 
 // serve answers one request.
@@ -150,6 +151,7 @@
 	}
 	e.hintFrom(answer.Header, a.Target.PeerAddress)
 	load := wire.ParseLoad(answer.Header.Get(wire.HeaderLoad))
+	answer.Header.Del(wire.HeaderLoad) // not for callers
 	if answer.Header.Get(port.CodeHeader) != "" {
 		return nil, load, port.ReadRefusal(&http.Response{
 			StatusCode: answer.Status, Header: answer.Header, Body: io.NopCloser(bytes.NewReader(answer.Held)),
--- a/plugins/callrelay/owner.go
+++ b/plugins/callrelay/owner.go
@@ -195,6 +195,9 @@
 		h[name] = values
 	}
 	wire.RemoveHopHeaders(h)
+	if h["Date"] == nil {
+		h["Date"] = nil // keeps net/http from adding one to the server's answer
+	}
 	if a.Length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(a.Length, 10))
 	}
