Stop requests that crash servers on every node of the platform

Cause: teasel-sidecar has no links, so the owner node's report of a crash reached nobody, and it came only with the server's next start. The new spec (test/sidecar, a request that crashes servers) fails without the plug-in and passes with it.

--- a/cmd/teasel-sidecar/plugins.go
+++ b/cmd/teasel-sidecar/plugins.go
@@ -8,6 +8,7 @@
 	_ "teaselring/plugins/callrouter"
 	_ "teaselring/plugins/callslots"
 	_ "teaselring/plugins/configrows"
+	_ "teaselring/plugins/crashspread"
 	_ "teaselring/plugins/edgeinbound"
 	_ "teaselring/plugins/edgeoutbound"
 	_ "teaselring/plugins/membershiprows"
--- a/plugins/callrelay/owner.go
+++ b/plugins/callrelay/owner.go
@@ -81,7 +81,7 @@
 	released := port.Released{Attempt: a.ID}
 	if err != nil {
 		code := result.Of(err)
-		released.Shed, released.Lost = code == result.Shed, code == result.UpstreamLost
+		released.Shed, released.Lost, released.Down = code == result.Shed, code == result.UpstreamLost, code == result.ConnectFailed
 		o.release(released)
 		return nil, err
 	}
--- a/plugins/callslots/slots.go
+++ b/plugins/callslots/slots.go
@@ -234,6 +234,11 @@
 	delete(d.open, r.Attempt)
 	d.attempts.End(r.Attempt)
 	call := &a.ask.Query.Call
+	if r.Down {
+		d.slots.Abandon(r.Attempt)
+		d.upstream.noteDown(a.process, now)
+		return
+	}
 	if r.Lost {
 		d.slots.Abandon(r.Attempt) // says nothing about the speed of the upstream
 		d.upstream.noteLost(a.process, call.Fingerprint, now)
--- a/plugins/callslots/upstream.go
+++ b/plugins/callslots/upstream.go
@@ -66,6 +66,15 @@
 	u.lost = append(u.lost, lostAttempt{process, fingerprint, now})
 }
 
+// noteDown takes a process that lost attempts and does not listen any more for
+// ended, before its successor says so.
+func (u *upstream) noteDown(process string, now time.Time) {
+	lost := slices.ContainsFunc(u.lost, func(l lostAttempt) bool { return l.process == process })
+	if lost && u.reportAt.IsZero() && process == u.local.Endpoint.Process {
+		u.ended, u.reportAt = u.local.Endpoint, now.Add(settleCrash)
+	}
+}
+
 // takeLost returns the fingerprints that a process lost recently, and forgets
 // them and those that are too old to count.
 func (u *upstream) takeLost(process string, now time.Time) (prints []uint64) {
--- a/port/calls.go
+++ b/port/calls.go
@@ -89,6 +89,7 @@
 	Status  int  // status of the upstream, 0 when none came
 	Shed    bool // the upstream refused under load
 	Lost    bool // the connection to the upstream broke
+	Down    bool // nothing listens at the upstream's address
 }
 
 // ReleaseRing leads from the edges to the slots duty. It waits when full: a
--- a/test/sidecar/mesh.go
+++ b/test/sidecar/mesh.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -159,7 +160,9 @@
 type Server struct {
 	*httptest.Server
 	id       string
-	born     int64
+	born     atomic.Int64
+	down     atomic.Bool  // has crashed
+	poisoned atomic.Int64 // requests that crashed it
 	state    atomic.Value // string
 	paused   atomic.Bool  // sends no heartbeats
 	workMS   atomic.Int64
@@ -171,10 +174,10 @@
 }
 
 func newServer(id string) *Server {
-	s := &Server{id: id, born: time.Now().UnixMilli(), ended: make(chan struct{})}
+	s := &Server{id: id, ended: make(chan struct{})}
+	s.born.Store(time.Now().UnixMilli())
 	s.state.Store("ready")
 	s.Server = httptest.NewUnstartedServer(http.HandlerFunc(s.serve))
-	s.Config.ConnState = func(net.Conn, http.ConnState) {}
 	s.Start()
 	return s
 }
@@ -197,6 +200,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if strings.HasSuffix(r.URL.Path, "/poison") {
+		s.crash()
+		panic(http.ErrAbortHandler)
+	}
 	s.ran.Add(1)
 	s.lastRan.Store(time.Now().UnixMilli())
 	body, _ := io.ReadAll(r.Body)
@@ -207,12 +214,31 @@
 	_, _ = w.Write(body)
 }
 
+// crash ends the server with all that it runs; it comes back after a while.
+func (s *Server) crash() {
+	s.poisoned.Add(1)
+	s.down.Store(true)
+	address := s.Listener.Addr().String()
+	_ = s.Listener.Close()
+	s.CloseClientConnections()
+	time.AfterFunc(1500*time.Millisecond, func() {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			panic(err)
+		}
+		s.born.Store(time.Now().UnixMilli())
+		s.sequence.Store(0)
+		s.down.Store(false)
+		_ = s.Config.Serve(listener)
+	})
+}
+
 // announce sends heartbeats until the server is stopped.
 func (s *Server) announce(control string) {
 	ticker := time.NewTicker(heartbeat)
 	defer ticker.Stop()
 	for {
-		if !s.paused.Load() {
+		if !s.paused.Load() && !s.down.Load() {
 			s.beat(control)
 		}
 		select {
@@ -229,7 +255,7 @@
 		"Address":     s.Listener.Addr().String(),
 		"Information": map[string]any{"Service": service, "Version": "v1", "Zone": "z", "Slots": 8},
 		"Status":      map[string]any{"State": state, "Sequence": s.sequence.Add(1), "ColdRemainingS": 0},
-		"born":        s.born,
+		"born":        s.born.Load(),
 	})
 	if err != nil {
 		panic(err)
--- a/test/sidecar/sidecar_test.go
+++ b/test/sidecar/sidecar_test.go
@@ -62,10 +62,8 @@
 	})
 
 	// One node a zone follows the store; the others must not depend on it.
-	It("take over a configuration while the store refuses any one of them", func() {
+	It("take over a configuration while any one of them is frozen", func() {
 		for i, machine := range m.Machines {
-			ip := strings.Split(machine.Address.Inbound, ":")[0]
-			_ = ip
 			prefix := fmt.Sprintf("/p%d/", i)
 			machine.Pause()
 			m.Configure(10+i, prefix)
@@ -159,6 +157,22 @@
 		Eventually(stopping.Ended(), "20s").Should(BeClosed())
 	})
 
+	// Each retry of such a request takes another server down.
+	It("stop a request that crashes servers", func() {
+		crashes := func() (n int64) {
+			for _, machine := range m.Machines {
+				n += machine.Server.poisoned.Load()
+			}
+			return n
+		}
+		for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+			for _, machine := range m.Machines {
+				_, _ = machine.Call(http.MethodGet, "/read/poison", "")
+			}
+		}
+		Expect(crashes()).To(BeNumerically("<=", 6), "two crashes show it, the others were on their way")
+	})
+
 	It("go on after SIGHUP", func() {
 		Expect(syscall.Kill(m.Machines[0].PID(), syscall.SIGHUP)).To(Succeed())
 		Consistently(inForce(m.Machines[0], "/read/"), "300ms").Should(Succeed())
