Test the outbound edge and the adapter; end a stop earlier

The tests found that headers of up to 8 KiB more than the configuration allows were taken, since bytes read ahead were not counted.

--- a/plugins/edgeoutbound/client.go
+++ b/plugins/edgeoutbound/client.go
@@ -127,7 +127,7 @@
 	limits := c.edge.limits()
 	arrived := time.Now()
 	_ = c.conn.SetReadDeadline(arrived.Add(limits.HeaderTimeout))
-	c.input.left = int64(limits.HeaderBytes + bufferBytes)
+	c.input.left = max(int64(limits.HeaderBytes-c.reader.Buffered()), 1)
 	request, err := http.ReadRequest(c.reader)
 	c.input.left = -1
 	if err != nil {
--- /dev/null
+++ b/plugins/edgeoutbound/edgeoutbound_test.go
@@ -0,0 +1,230 @@
+package edgeoutbound
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+
+	"teaselring/kernel"
+	"teaselring/mesh"
+	"teaselring/port"
+)
+
+func TestEdgeOutbound(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "edge.outbound")
+}
+
+// serving starts an edge whose call path is path, and connects to it.
+func serving(limits mesh.EdgeLimits, path port.CallPath) net.Conn {
+	snapshot := new(port.SnapshotCell)
+	snapshot.Store(&mesh.Snapshot{Limits: limits})
+	e := &edge{
+		edgeIn: edgeIn{
+			Site: &port.Site{Outbound: netip.MustParseAddrPort("127.0.0.1:0")}, Path: path, Snapshot: snapshot,
+			Grace: new(kernel.Grace), Logger: kernel.NewLogger(io.Discard),
+		},
+		connections: metrics.NewCounter(), requests: metrics.NewCounter(), latency: metrics.NilHistogram{},
+	}
+	Expect(e.start()).To(Succeed())
+	DeferCleanup(e.socket.Close)
+	conn, err := net.Dial("tcp", e.socket.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = conn.Close() }) // a spec may have closed it
+	return conn
+}
+
+func answer(text string) *port.Answer {
+	return &port.Answer{Status: 200, Header: http.Header{}, Held: []byte(text), Length: int64(len(text))}
+}
+
+// echo answers with path and body.
+func echo(_ context.Context, r *port.Request) *port.Answer {
+	return answer(r.URL.Path + string(r.Held))
+}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
+
+func read(r *bufio.Reader) (int, string) {
+	GinkgoHelper()
+	response, err := http.ReadResponse(r, nil)
+	Expect(err).NotTo(HaveOccurred())
+	body, err := io.ReadAll(response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return response.StatusCode, string(body)
+}
+
+var _ = Describe("requests sent before the last one is answered", func() {
+	// The first takes longest; its answer must still come first.
+	It("run side by side and are answered in order", func() {
+		begun := make(chan string, 3)
+		release := make(chan struct{})
+		conn := serving(mesh.EdgeLimits{}, func(_ context.Context, r *port.Request) *port.Answer {
+			begun <- r.URL.Path
+			if r.URL.Path == "/1" {
+				<-release
+			}
+			return answer(r.URL.Path)
+		})
+		_, err := io.WriteString(conn, get("/1")+get("/2")+get("/3"))
+		Expect(err).NotTo(HaveOccurred())
+		for range 3 {
+			Eventually(begun, "5s").Should(Receive())
+		}
+		close(release)
+		reader := bufio.NewReader(conn)
+		for _, want := range []string{"/1", "/2", "/3"} {
+			_, body := read(reader)
+			Expect(body).To(Equal(want))
+		}
+	})
+
+	// If an earlier answer ends the connection, the client sends it again.
+	It("wait for the earlier answers when they must run once", func() {
+		begun := make(chan string, 2)
+		release := make(chan struct{})
+		conn := serving(mesh.EdgeLimits{}, func(_ context.Context, r *port.Request) *port.Answer {
+			begun <- r.Method
+			if r.Method == http.MethodGet {
+				<-release
+			}
+			return answer("x")
+		})
+		_, err := io.WriteString(conn, get("/1")+"POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nb")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(begun, "5s").Should(Receive(Equal("GET")))
+		Consistently(begun, "100ms").ShouldNot(Receive())
+		close(release)
+		Eventually(begun, "5s").Should(Receive(Equal("POST")))
+	})
+
+	It("tell when each arrived", func() {
+		arrived := make(chan time.Time, 2)
+		conn := serving(mesh.EdgeLimits{}, func(_ context.Context, r *port.Request) *port.Answer {
+			arrived <- r.Arrived
+			return answer("")
+		})
+		_, _ = io.WriteString(conn, get("/1"))
+		time.Sleep(50 * time.Millisecond)
+		_, _ = io.WriteString(conn, get("/2"))
+		var first, second time.Time
+		Eventually(arrived, "5s").Should(Receive(&first))
+		Eventually(arrived, "5s").Should(Receive(&second))
+		Expect(second.Sub(first)).To(BeNumerically(">=", 40*time.Millisecond))
+	})
+})
+
+// A server works on for a client that is gone.
+var _ = DescribeTable("a client that leaves is noticed",
+	func(sent string) {
+		gone := make(chan struct{})
+		conn := serving(mesh.EdgeLimits{}, func(ctx context.Context, r *port.Request) *port.Answer {
+			if r.URL.Path == "/1" {
+				<-ctx.Done()
+				close(gone)
+			}
+			return answer("")
+		})
+		_, err := io.WriteString(conn, sent)
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(20 * time.Millisecond)
+		Expect(conn.Close()).To(Succeed())
+		Eventually(gone, "2s").Should(BeClosed())
+	},
+	Entry("while its request waits", get("/1")),
+	Entry("while other requests of it wait", get("/1")+get("/2")+get("/3")),
+	Entry("after it asked for the end of the connection", "GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"),
+)
+
+var _ = Describe("a connection", func() {
+	It("carries bodies with a length and in chunks", func() {
+		conn := serving(mesh.EdgeLimits{}, echo)
+		_, _ = io.WriteString(conn, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nxyz"+
+			"POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nxyz\r\n0\r\n\r\n")
+		reader := bufio.NewReader(conn)
+		_, first := read(reader)
+		_, second := read(reader)
+		Expect([]string{first, second}).To(Equal([]string{"/axyz", "/bxyz"}))
+	})
+
+	It("ends after the answer when the client asks for it", func() {
+		conn := serving(mesh.EdgeLimits{}, echo)
+		_, _ = io.WriteString(conn, "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+		reader := bufio.NewReader(conn)
+		_, body := read(reader)
+		Expect(body).To(Equal("/a"))
+		_, err := reader.ReadByte()
+		Expect(err).To(Equal(io.EOF))
+	})
+
+	It("ends when it is idle for longer than the configuration allows", func() {
+		conn := serving(mesh.EdgeLimits{IdleTimeout: 50 * time.Millisecond}, echo)
+		_, err := conn.Read(make([]byte, 1))
+		Expect(err).To(Equal(io.EOF))
+	})
+
+	It("is not idle while an answer is due", func() {
+		conn := serving(mesh.EdgeLimits{IdleTimeout: 50 * time.Millisecond}, func(context.Context, *port.Request) *port.Answer {
+			time.Sleep(300 * time.Millisecond)
+			return answer("late")
+		})
+		_, _ = io.WriteString(conn, get("/1"))
+		_, body := read(bufio.NewReader(conn))
+		Expect(body).To(Equal("late"))
+	})
+})
+
+// A server must get exactly one clean request or none.
+var _ = DescribeTable("a request that is refused",
+	func(request string, status int) {
+		conn := serving(mesh.EdgeLimits{HeaderBytes: 1024, BodyBytes: 2048, HeaderTimeout: 100 * time.Millisecond}, func(context.Context, *port.Request) *port.Answer {
+			defer GinkgoRecover()
+			Fail("the request was passed on")
+			return nil
+		})
+		_, err := io.WriteString(conn, request)
+		Expect(err).NotTo(HaveOccurred())
+		got, _ := read(bufio.NewReader(conn))
+		Expect(got).To(Equal(status))
+	},
+	Entry("for a name with a space", "GET / HTTP/1.1\r\nHost: h\r\nBad Name: x\r\n\r\n", 400),
+	Entry("for a host that is none", "GET / HTTP/1.1\r\nHost: a b\r\n\r\n", 400),
+	Entry("for no host", "GET / HTTP/1.1\r\n\r\n", 400),
+	Entry("for the target of a proxy", "GET http://h/ HTTP/1.1\r\nHost: h\r\n\r\n", 400),
+	Entry("for two lengths", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400),
+	Entry("for an unknown encoding", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n\r\n", 400),
+	Entry("for its body", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4096\r\n\r\n", 413),
+	Entry("for its headers", "GET / HTTP/1.1\r\nHost: h\r\nX: "+strings.Repeat("x", 8000)+"\r\n\r\n", 431),
+	Entry("for headers that do not come", "GET / HTTP/1.1\r\nHost: h\r\n", 408),
+)
+
+var _ = Describe("an answer that breaks off", func() {
+	// A part must not look like the whole.
+	It("ends the connection short of its length", func() {
+		conn := serving(mesh.EdgeLimits{}, func(context.Context, *port.Request) *port.Answer {
+			return &port.Answer{Status: 200, Header: http.Header{}, Held: []byte("part"), Rest: broken{}, Length: 100}
+		})
+		_, _ = io.WriteString(conn, get("/1"))
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err == nil {
+			_, err = io.ReadAll(response.Body)
+		}
+		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+	})
+})
+
+type broken struct{}
+
+func (broken) Read([]byte) (int, error) { return 0, fmt.Errorf("the connection broke") }
+func (broken) Close() error             { return nil }
--- a/plugins/edgeoutbound/setup.go
+++ b/plugins/edgeoutbound/setup.go
@@ -39,9 +39,11 @@
 	acceptAfterStop = 3 * time.Second
 	// quietBeforeEnd is the time without a request after which a stopping node ends.
 	quietBeforeEnd = 200 * time.Millisecond
-	// endMargin is left of the grace for the last answers' way.
-	endMargin = 400 * time.Millisecond
-	pollStop  = 50 * time.Millisecond
+	// endPart is the part of the grace after which calls in progress are cut. The
+	// platform excuses those that are still at work in its last sixth, and a slow
+	// machine needs time to end the process.
+	endPart  = 0.85
+	pollStop = 50 * time.Millisecond
 )
 
 type edgeIn struct {
@@ -112,7 +114,7 @@
 func (e *edge) drain(over context.Context) {
 	ticker := time.NewTicker(pollStop)
 	defer ticker.Stop()
-	end := e.Site.Grace - endMargin
+	end := time.Duration(endPart * float64(e.Site.Grace))
 	quiet := time.Now()
 	for {
 		select {
