--- a/decision/rollout/evidence.go
+++ b/decision/rollout/evidence.go
@@ -147,7 +147,6 @@
 	n := len(e.slots)
 	if n == 0 || now.Sub(e.slots[n-1].at) >= slotSpan {
 		e.slots = append(e.slots, slot{at: now, routes: map[mesh.RouteID]*Counts{}})
-		n++
 	}
 	for len(e.slots) > 1 && now.Sub(e.slots[0].at) > windowSpan {
 		e.slots = e.slots[1:]
--- a/plugins/callforward/callforward_suite_test.go
+++ b/plugins/callforward/callforward_suite_test.go
@@ -17,6 +17,7 @@
 	"teaselring/mesh"
 	"teaselring/port"
 	"teaselring/result"
+	"teaselring/test/rings"
 )
 
 func TestCallForward(t *testing.T) {
@@ -26,24 +27,9 @@
 
 // serving answers every query of a ring until the test ends.
 func serving[Q, A any](name string, answer func(Q) (A, error)) *kernel.Ring[kernel.Ask[Q, A]] {
-	ring := kernel.NewRing[kernel.Ask[Q, A]](name, 64, kernel.WaitUntilDeadline)
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
-	go func() {
-		for {
-			select {
-			case ask := <-ring.C():
-				if a, err := answer(ask.Query); err != nil {
-					ask.Fail(err)
-				} else {
-					ask.Answer(a)
-				}
-			case <-ctx.Done():
-				return
-			}
-		}
-	}()
-	return ring
+	return rings.Answering(ctx, name, answer)
 }
 
 // pair is an entry node and an owner node whose duties are scripted.
--- a/plugins/callforward/exchange.go
+++ b/plugins/callforward/exchange.go
@@ -125,27 +125,15 @@
 	answer, load, err := c.run(ctx, &wire.Attempt{ID: newAttemptID(), Call: c.call, Target: target})
 	outcome.Duration = time.Since(began)
 	outcome.Load = load
-	describe(&outcome, answer, err)
+	port.Describe(&outcome, statusOf(answer), err)
 	return answer, outcome, err
 }
 
-// describe fills in what the attempt came to.
-func describe(o *mesh.Outcome, answer *http.Response, err error) {
-	if answer != nil {
-		o.Status = answer.StatusCode
-		o.Failed = answer.StatusCode >= http.StatusInternalServerError
-		return
-	}
-	code := result.Of(err)
-	o.Code = code.Number
-	switch code {
-	case result.Shed, result.QueueFull, result.QueueTimeout, result.ClassLimit:
-		o.Shed = true
-	case result.UpstreamLost:
-		o.Failed, o.Crashed = true, true
-	case result.ConnectFailed, result.ConnectionLost, result.DeadlineDuring, result.Internal:
-		o.Failed = true
+func statusOf(answer *http.Response) int {
+	if answer == nil {
+		return 0
 	}
+	return answer.StatusCode
 }
 
 // run sends the attempt to its target: over the peers' connection, or straight
--- a/plugins/callrelay/call.go
+++ b/plugins/callrelay/call.go
@@ -130,7 +130,7 @@
 	}
 	answer, load, err := c.run(ctx, a)
 	outcome.Duration, outcome.Load = time.Since(began), load
-	describe(&outcome, answer, err)
+	port.Describe(&outcome, statusOf(answer), err)
 	if reachedServer(result.Of(err)) {
 		c.sends++
 	}
@@ -150,23 +150,11 @@
 	return answer, c.Load.Load(), err
 }
 
-// describe fills in what the attempt came to.
-func describe(o *mesh.Outcome, answer *port.Answer, err error) {
-	if answer != nil {
-		o.Status = answer.Status
-		o.Failed = answer.Status >= http.StatusInternalServerError
-		return
-	}
-	code := result.Of(err)
-	o.Code = code.Number
-	switch code {
-	case result.Shed, result.QueueFull, result.QueueTimeout, result.ClassLimit:
-		o.Shed = true
-	case result.UpstreamLost:
-		o.Failed = true
-	case result.ConnectFailed, result.ConnectionLost, result.DeadlineDuring, result.Internal:
-		o.Failed = true
+func statusOf(answer *port.Answer) int {
+	if answer == nil {
+		return 0
 	}
+	return answer.Status
 }
 
 // truthful returns what may be said of the call as a whole, given the error of
--- a/plugins/crashspread/setup.go
+++ b/plugins/crashspread/setup.go
@@ -5,7 +5,6 @@
 package crashspread
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -97,29 +96,13 @@
 		places <- struct{}{}
 		go func() {
 			defer func() { <-places }()
-			if err := d.tell(ctx, m.PeerAddress, body); err != nil {
+			if _, err := port.TellPeer(ctx, d.client, m.PeerAddress, crashPath, body); err != nil {
 				d.Logger.Warn().Str("node", string(m.Node)).Err(err).Msg("crash not told to a node")
 			}
 		}()
 	}
 }
 
-func (d *duty) tell(ctx context.Context, peer string, body []byte) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer+crashPath, bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	answer, err := d.client.Do(request)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = answer.Body.Close() }()
-	if answer.StatusCode != http.StatusOK {
-		return result.BadMessage.Errorf("status %d", answer.StatusCode)
-	}
-	return nil
-}
-
 // newInbound takes the reports of other nodes.
 func newInbound(inbox *port.CrashInbox) port.InboundRoute {
 	return port.InboundRoute{Path: crashPath, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/plugins/rolloutrows/duties.go
+++ b/plugins/rolloutrows/duties.go
@@ -1,10 +1,8 @@
 package rolloutrows
 
 import (
-	"bytes"
 	"context"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -63,22 +61,10 @@
 }
 
 func (s *sender) ask(ctx context.Context, judge string, body []byte) (v verdict, err error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+judge+evidencePath, bytes.NewReader(body))
+	content, err := port.TellPeer(ctx, s.client, judge, evidencePath, body)
 	if err != nil {
 		return v, err
 	}
-	answer, err := s.client.Do(request)
-	if err != nil {
-		return v, err
-	}
-	defer func() { _ = answer.Body.Close() }()
-	content, err := io.ReadAll(io.LimitReader(answer.Body, maxReport))
-	if err != nil {
-		return v, err
-	}
-	if answer.StatusCode != http.StatusOK {
-		return v, result.BadMessage.Errorf("status %d", answer.StatusCode)
-	}
 	return v, cbor.Unmarshal(content, &v)
 }
 
@@ -145,12 +131,11 @@
 			return
 		}
 		line.Msg("state of a move not written")
-		span := min(writeLeast<<min(failures, 8), writeMost)
 		select {
 		case <-ctx.Done():
 			return
 		case state = <-w.Writes.C():
-		case <-time.After(span/2 + rand.N(span/2)):
+		case <-time.After(kernel.Backoff(failures, writeLeast, writeMost)):
 		}
 	}
 }
--- a/plugins/storereplica/setup.go
+++ b/plugins/storereplica/setup.go
@@ -4,7 +4,6 @@
 package storereplica
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/phuslu/log"
@@ -97,10 +96,3 @@
 		table: table, wait: wait, pause: pause, feed: in.Feed, out: in.Out, rows: in.Rows, source: in.Source, logger: in.Logger,
 	}
 }
-
-// backoff returns the wait after n failures in a row, with full jitter above
-// half, so that nodes that failed together do not return together.
-func backoff(n int) time.Duration {
-	span := min(retryLeast<<min(n, 8), retryMost)
-	return span/2 + rand.N(span/2)
-}
--- a/plugins/storereplica/watch.go
+++ b/plugins/storereplica/watch.go
@@ -102,7 +102,7 @@
 	if w.failures == 0 {
 		w.logger.Warn().Str("table", w.table).Err(err).Msg("store lost")
 	}
-	pause(ctx, backoff(w.failures))
+	pause(ctx, kernel.Backoff(w.failures, retryLeast, retryMost))
 	w.failures++
 }
 
--- a/plugins/upstreambeats/writer.go
+++ b/plugins/upstreambeats/writer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -65,16 +64,11 @@
 		case <-ctx.Done():
 			return
 		case order = <-w.Orders.C():
-		case <-time.After(backoff(failures)):
+		case <-time.After(kernel.Backoff(failures, writeLeast, writeMost)):
 		}
 	}
 }
 
-func backoff(failures int) time.Duration {
-	span := min(writeLeast<<min(failures, 8), writeMost)
-	return span/2 + rand.N(span/2)
-}
-
 func (w *writer) write(ctx context.Context, order *rowOrder) error {
 	key := port.NodeRowPrefix + string(order.Member.Node)
 	if row, ok := w.Rows.Load().Get(port.NodeTable, key); ok {
--- a/port/calls.go
+++ b/port/calls.go
@@ -1,11 +1,13 @@
 package port
 
 import (
+	"net/http"
 	"net/netip"
 	"time"
 
 	"teaselring/kernel"
 	"teaselring/mesh"
+	"teaselring/result"
 )
 
 // Pick asks the router for an endpoint. An answer counts one attempt in flight
@@ -116,3 +118,23 @@
 // LoadCell holds the load of the local upstream for the header Teasel-Load.
 // Its owner is the slots duty; nil before the first call.
 type LoadCell = kernel.Cell[mesh.Load]
+
+// Describe fills in what an attempt came to: the status of an answer, or the
+// error without one.
+func Describe(o *mesh.Outcome, status int, err error) {
+	if err == nil {
+		o.Status = status
+		o.Failed = status >= http.StatusInternalServerError
+		return
+	}
+	code := result.Of(err)
+	o.Code = code.Number
+	switch code {
+	case result.Shed, result.QueueFull, result.QueueTimeout, result.ClassLimit:
+		o.Shed = true
+	case result.UpstreamLost:
+		o.Failed, o.Crashed = true, true
+	case result.ConnectFailed, result.ConnectionLost, result.DeadlineDuring, result.Internal:
+		o.Failed = true
+	}
+}
--- /dev/null
+++ b/port/peer.go
@@ -0,0 +1,32 @@
+package port
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+
+	"teaselring/result"
+)
+
+// maxPeerAnswer is in bytes; answers to reports are far below.
+const maxPeerAnswer = 256 << 10
+
+// TellPeer posts a message to another node's inbound edge and returns the body
+// of its answer.
+func TellPeer(ctx context.Context, client *http.Client, peer, path string, message []byte) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer+path, bytes.NewReader(message))
+	if err != nil {
+		return nil, err
+	}
+	answer, err := client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	content, err := io.ReadAll(io.LimitReader(answer.Body, maxPeerAnswer))
+	if err == nil && answer.StatusCode != http.StatusOK {
+		err = result.BadMessage.Errorf("status %d", answer.StatusCode)
+	}
+	return content, err
+}
