--- a/decision/routing/choose.go
+++ b/decision/routing/choose.go
@@ -71,6 +71,15 @@
 	return byTier
 }
 
+// dropRefusing leaves out endpoints outside the zone that refused a call a moment
+// ago. In overload every call of a zone asked all others, and the questions were
+// a third of the bytes between zones.
+func (r *Router) dropRefusing(byTier *[tiers][]*endpoint, now time.Time) {
+	for t := sameZone + 1; t < tiers; t++ {
+		byTier[t] = slices.DeleteFunc(byTier[t], func(e *endpoint) bool { return now.Sub(e.refused) < r.params.AskAgain })
+	}
+}
+
 func (r *Router) distance(m *mesh.Member) tier {
 	switch {
 	case m.Zone == r.home.Zone && m.Region == r.home.Region:
@@ -85,6 +94,9 @@
 // at the first tier whose better one has room; otherwise the lowest score wins.
 func (r *Router) choose(s *service, v mesh.UpstreamVersion, q *Query, rnd Random, now time.Time) *endpoint {
 	byTier := r.candidates(s, v, q.Tried, now)
+	if !q.Call.Aim.IsZero() && r.servedNear(s, v) {
+		r.dropRefusing(&byTier, now)
+	}
 	var best *endpoint
 	var bestScore float64
 	for t := range tiers {
--- a/decision/routing/endpoint.go
+++ b/decision/routing/endpoint.go
@@ -21,6 +21,7 @@
 	others   float64
 	limit    int // reported limit, 0 when unknown
 	reported time.Time
+	refused  time.Time // the last refusal under load
 
 	silent     int // attempts in a row that were given up without an answer
 	avoidUntil time.Time
@@ -157,7 +158,7 @@
 // report may contradict.
 func (e *endpoint) full(now time.Time, p *Params) {
 	e.others = math.Max(e.othersNow(now, p), (e.capacity()-float64(e.inFlight))/p.ReportWeight)
-	e.reported = now
+	e.reported, e.refused = now, now
 }
 
 // strike starts or doubles the penalty. Attempts of one broken connection fail
--- a/decision/routing/near_test.go
+++ b/decision/routing/near_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"teaselring/mesh"
+	"teaselring/result"
 )
 
 // nearAndFar is a router in zone a that knows one server there and one in zone b.
@@ -122,3 +123,23 @@
 		Expect(t.Spill).To(BeFalse())
 	})
 })
+
+var _ = Describe("an endpoint outside the zone that refused a call", func() {
+	It("is not asked again for a moment, unless the zone has no endpoint", func() {
+		r := nearAndFar()
+		rnd := rand.New(rand.NewPCG(1, 1))
+		far := mesh.Target{Node: "far", Incarnation: 1, Service: "s", Version: "v"}
+		r.Begin(far, start)
+		r.End(mesh.Outcome{Target: far, Code: result.QueueFull.Number, Shed: true}, start)
+		query := &Query{Call: &mesh.Call{Service: "s", Aim: start.Add(time.Second)}, Tried: []mesh.NodeID{"far-home"}}
+		_, err := r.Pick(query, nil, rnd, start.Add(100*time.Millisecond))
+		Expect(result.Of(err)).To(Equal(result.NoEndpoint))
+		_, err = r.Pick(query, nil, rnd, start.Add(400*time.Millisecond))
+		Expect(err).NotTo(HaveOccurred())
+		view := *r.view
+		view.Members = view.Members[:1]
+		r.Observe(&view)
+		_, err = r.Pick(query, nil, rnd, start.Add(100*time.Millisecond))
+		Expect(err).NotTo(HaveOccurred())
+	})
+})
--- a/decision/routing/router.go
+++ b/decision/routing/router.go
@@ -48,6 +48,9 @@
 	// times the endpoint's usual time, without an answer start a penalty.
 	SilentCalls int
 	SilentAfter time.Duration
+	// AskAgain is the time for which an endpoint outside the zone that refused a
+	// call under load is not asked for calls that have endpoints in the zone.
+	AskAgain time.Duration
 	// TrialLease is the time after which a trial call without an outcome no
 	// longer keeps others from being tried.
 	TrialLease time.Duration
@@ -63,7 +66,7 @@
 		ReportWeight: 0.7, ReportSmoothing: 0.5, LoadTrust: 500 * time.Millisecond,
 		HistoryTrust: 3 * time.Second, Smoothing: 0.01, SmoothingSpan: 3 * time.Second, FailureCost: 10, StayNear: 0.7,
 		PenaltyBase: 100 * time.Millisecond, PenaltyMax: 5 * time.Second, TrialLease: 5 * time.Second,
-		SilentCalls: 3, SilentAfter: 500 * time.Millisecond,
+		AskAgain: 250 * time.Millisecond, SilentCalls: 3, SilentAfter: 500 * time.Millisecond,
 	}
 }
 
