Bring restarted nodes into use while the store is down

Cause, found by the recorded incidents: a node that starts while the store is down knew no other node and stayed without configuration, and the others addressed its earlier life, which it refused. A stopping node took no calls of other nodes for most of its stop. Both new specs of test/sidecar failed first.

--- a/plugins/callrelay/entry.go
+++ b/plugins/callrelay/entry.go
@@ -139,7 +139,7 @@
 func (e *entry) runRemote(ctx context.Context, a *wire.Attempt, body *port.Request) (*port.Answer, *mesh.Load, error) {
 	request := outgoing(body.Request)
 	a.Write(request.Header, time.Now())
-	request.Header.Set(wire.HeaderEntry, string(e.Identity.Node))
+	request.Header.Set(wire.HeaderEntry, e.Site.Inbound.String())
 	request.Header.Set(port.SeenHeader, port.FormatSeen(e.Rows.Load().Seen()))
 	x := &exchange{
 		pool: e.pool, address: a.Target.PeerAddress, request: request, body: body,
--- a/plugins/callrelay/owner.go
+++ b/plugins/callrelay/owner.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"teaselring/kernel"
+	"teaselring/mesh"
 	"teaselring/port"
 	"teaselring/result"
 	"teaselring/wire"
@@ -21,9 +22,9 @@
 	// releaseTimeout is far above the time that the slots duty needs for a full ring.
 	releaseTimeout = 10 * time.Second
 	// acceptWhileStopping is the time after the signal to stop in which calls of
-	// other nodes are still taken. After it the way of a call and the longest
-	// usual work fit into the rest of the grace.
-	acceptWhileStopping = time.Second
+	// other nodes are still taken. Clients of the machine are sent elsewhere after
+	// 2 s; calls that begin by then end within the rest of the grace.
+	acceptWhileStopping = 1800 * time.Millisecond
 )
 
 // owner runs attempts on the server beside the node.
@@ -69,7 +70,7 @@
 // the answer is complete or closed.
 func (o *owner) run(ctx context.Context, a *wire.Attempt, body *port.Request) (*port.Answer, error) {
 	admitted, err := kernel.Do(ctx, o.Admit, port.Admit{
-		Call: a.Call, Attempt: a.ID, Incarnation: a.Target.Incarnation, Version: a.Target.Version,
+		Call: a.Call, Attempt: a.ID, Incarnation: o.incarnation(), Version: a.Target.Version,
 	})
 	if err != nil {
 		if result.Of(err) == result.Stopped && ctx.Err() != nil {
@@ -94,6 +95,18 @@
 	return answer, nil
 }
 
+// incarnation returns that of this node. Which life of the node the entry node
+// knows does not matter: service, version and the server's id are checked, and
+// while the store is down no other node can learn of a new life.
+func (o *owner) incarnation() mesh.Incarnation {
+	if view := o.View.Load(); view != nil {
+		if self := view.Member(o.Identity.Node); self != nil {
+			return self.Incarnation
+		}
+	}
+	return 0 // refused by the slots duty
+}
+
 func (o *owner) release(released port.Released) {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
--- a/plugins/callrelay/setup.go
+++ b/plugins/callrelay/setup.go
@@ -7,6 +7,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 
 	"github.com/phuslu/log"
@@ -56,15 +57,11 @@
 	})
 }
 
-// hint passes on that another node knows newer rows. The target of the call
-// back is the sender's inbound edge, which the view knows.
+// hint passes on that the sender of a call knows newer rows. It names its own
+// inbound edge: a node that starts while the store is down knows no other node.
 func (in *relayIn) hint(h http.Header) {
-	view := in.View.Load()
-	if view == nil {
-		return
-	}
-	if m := view.Member(mesh.NodeID(h.Get(wire.HeaderEntry))); m != nil {
-		in.hintFrom(h, m.PeerAddress)
+	if peer, err := netip.ParseAddrPort(h.Get(wire.HeaderEntry)); err == nil {
+		in.hintFrom(h, peer.String())
 	}
 }
 
--- a/plugins/edgeoutbound/setup.go
+++ b/plugins/edgeoutbound/setup.go
@@ -38,7 +38,7 @@
 	// acceptAfterStop is the time after the signal in which connections are taken.
 	acceptAfterStop = 3 * time.Second
 	// quietBeforeEnd is the time without a request after which a stopping node ends.
-	quietBeforeEnd = 200 * time.Millisecond
+	quietBeforeEnd = 100 * time.Millisecond
 	// endPart is the part of the grace after which calls in progress are cut. The
 	// platform excuses those that are still at work in its last sixth, and a slow
 	// machine needs time to end the process.
--- a/test/sidecar/sidecar_test.go
+++ b/test/sidecar/sidecar_test.go
@@ -89,6 +89,18 @@
 		}
 	})
 
+	// Such a node knew no other node and no configuration, and the others addressed
+	// its earlier life until the store came back.
+	It("serve again after a restart while the store is down", func() {
+		m.Store.Refuse("", http.StatusServiceUnavailable)
+		m.Machines[1].Restart()
+		h.Until("ready again", func() error {
+			_ = inForce(m.Machines[0], "/read/")() // calls tell the node where others are
+			return m.Machines[1].ready()
+		})
+		h.Until("every node knows every server", func() error { return m.allReached("/read/") })
+	})
+
 	It("list the rows again when the store has forgotten its history", func() {
 		m.Store.Forget()
 		m.Configure(2, "/later/")
@@ -173,6 +185,27 @@
 		Expect(crashes()).To(BeNumerically("<=", 6), "two crashes show it, the others were on their way")
 	})
 
+	// The server beside a stopping node stood idle for most of the stop.
+	It("use the server of a stopping node while the platform still sends clients there", func() {
+		for _, i := range []int{0, 2} { // the router prefers the server in question
+			m.Machines[i].Server.workMS.Store(30)
+		}
+		reached := func() map[string]int {
+			servers := map[string]int{}
+			for range 20 {
+				a, err := m.Machines[0].Call(http.MethodGet, "/read/x", "")
+				Expect(err).NotTo(HaveOccurred())
+				servers[a.Server]++
+			}
+			return servers
+		}
+		wanted := HaveKeyWithValue(m.Machines[1].Server.id, BeNumerically(">=", 10))
+		Eventually(reached, "20s").Should(wanted)
+		m.Machines[1].Terminate()
+		time.Sleep(1200 * time.Millisecond)
+		Expect(reached()).To(wanted)
+	})
+
 	It("go on after SIGHUP", func() {
 		Expect(syscall.Kill(m.Machines[0].PID(), syscall.SIGHUP)).To(Succeed())
 		Consistently(inForce(m.Machines[0], "/read/"), "300ms").Should(Succeed())
--- a/wire/attempt.go
+++ b/wire/attempt.go
@@ -27,7 +27,7 @@
 	HeaderFingerprint = "Teasel-Fingerprint"
 	HeaderLoad        = "Teasel-Load"
 	HeaderKey         = "Idempotency-Key"
-	HeaderEntry       = "Teasel-Entry" // name of the entry node
+	HeaderEntry       = "Teasel-Entry" // IP:port of the entry node's inbound edge
 )
 
 // Attempt is what travels with a call between nodes besides the request itself.
