--- a/mesh/snapshot.go
+++ b/mesh/snapshot.go
@@ -44,8 +44,6 @@
 	Queue int
 	// HealthPath is the path of the upstreams' health check; empty: none.
 	HealthPath string
-	// Connections is the number that one upstream accepts; 0: not limited.
-	Connections int
 }
 
 // Route is the compiled form of a route record of any schema.
--- /dev/null
+++ b/plugins/rolloutrows/rolloutrows_test.go
@@ -0,0 +1,117 @@
+package rolloutrows
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"teaselring/decision/replica"
+	"teaselring/kernel"
+	"teaselring/mesh"
+	"teaselring/port"
+)
+
+func TestRolloutRows(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "rollout.rows")
+}
+
+func member(node mesh.NodeID, version mesh.UpstreamVersion) mesh.Member {
+	return mesh.Member{
+		Node: node, State: mesh.NodeAlive, PeerAddress: "10.0.0.1:1",
+		Endpoint: mesh.Endpoint{Service: "s", Version: version, State: mesh.EndpointReady},
+	}
+}
+
+func rowOf(key string, value any, revision uint64) replica.Row {
+	content, err := cbor.Marshal(value)
+	Expect(err).NotTo(HaveOccurred())
+	return replica.Row{Table: port.NodeTable, Key: key, Value: content, Revision: revision}
+}
+
+// started is the duty of the node "n" that has just listed the rows of "n" and
+// "o" and of whatever else is given.
+func started(rows ...replica.Row) *duty {
+	rows = append(rows, rowOf(port.NodeRowPrefix+"n", member("n", "v2"), 1), rowOf(port.NodeRowPrefix+"o", member("o", "v1"), 2))
+	set := replica.New().List(port.NodeTable, rows, 9).List("op", nil, 9)
+	d := &duty{
+		dutyIn: dutyIn{
+			Identity: mesh.Identity{Node: "n"}, Rows: new(port.RowsCell), Clock: new(port.ClockCell), Orders: new(port.OrdersCell),
+			View: new(port.ViewCell), Splits: new(port.SplitsCell), Table: "op", Logger: kernel.NewLogger(io.Discard),
+			Writes:  kernel.NewRing[write]("writes", 4, kernel.ReplaceOldest),
+			Reports: kernel.NewRing[sending]("reports", 4, kernel.ReplaceOldest),
+		},
+		services: map[mesh.ServiceID]*service{},
+	}
+	d.Rows.Store(set)
+	d.Clock.Store(&port.Clock{At: time.Now(), Clock: time.Minute})
+	d.Orders.Store(&port.Orders{ByService: map[mesh.ServiceID]mesh.Order{
+		"s": {Service: "s", Target: "v2", Duration: 16 * time.Second, Revision: 8, Seen: time.Minute},
+	}})
+	return d
+}
+
+// turn lets the duty decide as after an event, long enough after the order for
+// every node's turn to write and for one without another version to begin.
+func (d *duty) turn() {
+	d.rows()
+	now := time.Now()
+	d.step(context.Background(), now)
+	d.step(context.Background(), now.Add(aloneSpan+2*turn))
+	d.publish()
+}
+
+var _ = Describe("a node that has just started", func() {
+	// Its view held only itself, with a server of the new version. It took that for
+	// the version in use, and the bad version kept all calls.
+	It("does not begin a move before its view holds the other nodes", func() {
+		d := started()
+		d.View.Store(&mesh.View{Self: "n", Members: []mesh.Member{member("n", "v2")}})
+		d.turn()
+		Expect(d.Writes.Len()).To(BeZero())
+		d.View.Store(&mesh.View{Self: "n", Members: []mesh.Member{member("n", "v2"), member("o", "v1")}})
+		d.turn()
+		var w write
+		Expect(d.Writes.C()).To(Receive(&w))
+		Expect(w.rollout.Old).To(BeEquivalentTo("v1"))
+	})
+
+	// Without the row's share the router would choose between versions by itself.
+	It("publishes no shares before it has looked at the rows of moves", func() {
+		row := mesh.Rollout{Service: "s", Order: 8, Old: "v1", New: "v2", Duration: time.Second, Phase: mesh.MoveTakenBack}
+		d := started(rowOf(port.RolloutRowPrefix+"s", row, 7))
+		d.turn()
+		Expect(d.Splits.Load().ByService["s"]).To(Equal(mesh.Split{Move: "s", Old: "v1", New: "v2"}))
+	})
+})
+
+var _ = Describe("a verdict", func() {
+	It("cuts the new version at once and is written", func() {
+		row := mesh.Rollout{Service: "s", Order: 8, Old: "v1", New: "v2", Started: time.Minute, Duration: time.Hour, Phase: mesh.MoveShifting}
+		d := started(rowOf(port.RolloutRowPrefix+"s", row, 7))
+		d.View.Store(&mesh.View{Self: "n", Members: []mesh.Member{member("n", "v2"), member("o", "v1")}})
+		d.turn()
+		Expect(d.Splits.Load().ByService["s"].Share).To(BeNumerically(">", 0))
+		d.condemn("s", 8, "its calls fail")
+		d.turn()
+		Expect(d.Splits.Load().ByService["s"].Share).To(BeZero())
+		var w write
+		Expect(d.Writes.C()).To(Receive(&w))
+		Expect(w.rollout.Phase).To(Equal(mesh.MoveTakenBack))
+		Expect(w.revision).To(BeEquivalentTo(7))
+	})
+
+	It("about an earlier order is ignored", func() {
+		row := mesh.Rollout{Service: "s", Order: 8, Old: "v1", New: "v2", Started: time.Minute, Duration: time.Hour, Phase: mesh.MoveShifting}
+		d := started(rowOf(port.RolloutRowPrefix+"s", row, 7))
+		d.turn()
+		d.condemn("s", 5, "its calls fail")
+		d.turn()
+		Expect(d.Splits.Load().ByService["s"].Share).To(BeNumerically(">", 0))
+	})
+})
--- a/port/site.go
+++ b/port/site.go
@@ -19,9 +19,8 @@
 	Platform netip.AddrPort // the platform's store
 	Service  mesh.ServiceID // of the server of the machine
 
-	Heartbeat time.Duration // between two heartbeats of the server
-	Drain     time.Duration // after the acknowledgement of its leaving a server gets no work
-	Grace     time.Duration // between the signal to stop and the kill
+	Drain time.Duration // after the acknowledgement of its leaving a server gets no work
+	Grace time.Duration // between the signal to stop and the kill
 }
 
 // CallHeaders are the names of the headers that callers and servers use.
@@ -32,7 +31,6 @@
 	Expect     string // id of the only server that may run the request
 	Instance   string // id of the server that answered
 	NotRun     string // a server's statement that it did not run the request
-	Load       string // running, waiting and slots of a server, separated by commas
 	Caller     string // service of the machine where the request began
 }
 
