Let short calls of servers wait past their aim

Cause: calls with a target below any queue's time were bounded to 125 ms by their aim, though their entry node allowed 250 ms, and their parents failed.

--- a/decision/limit/slots.go
+++ b/decision/limit/slots.go
@@ -52,14 +52,14 @@
 
 // until returns the time at which a request must have started. A call with an
 // aim waits only as long as its answer can be expected by then, but at least for
-// half of the queue's longest wait: the aims of very short calls are below the
-// time that any queue takes.
+// half of the queue's longest wait. One that may start after its aim is of use
+// late as well: such calls are made by servers for requests of their own.
 func (s *Slots) until(q *Request, now time.Time) time.Time {
 	if q.StartBy.IsZero() {
 		return earlier(q.Deadline, now.Add(s.params.QueueWait))
 	}
 	until := earlier(q.Deadline, q.StartBy)
-	if q.Aim.IsZero() {
+	if q.Aim.IsZero() || !q.StartBy.Before(q.Aim) {
 		return until
 	}
 	useful := q.Aim.Add(-time.Duration(workMargin * s.holdTime[q.rank()]))
