--- a/plugins/callrelay/exchange.go
+++ b/plugins/callrelay/exchange.go
@@ -56,6 +56,10 @@
 		}
 		return nil, result.ConnectFailed.Errorf("%v", err)
 	}
+	if ended := endedBy(ctx); ended != nil {
+		x.pool.put(conn, idleLimit)
+		return nil, result.CallerGone.Errorf("nothing was sent: %v", ended)
+	}
 	x.conn, x.reused, x.began = conn, conn.reused, time.Now()
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = conn.SetDeadline(deadline)
--- a/plugins/callrelay/relay_test.go
+++ b/plugins/callrelay/relay_test.go
@@ -49,6 +49,8 @@
 	servers []string // IP:port, one for each attempt to come
 	retry   bool     // what the router says about failed attempts that cost something
 	asked   atomic.Int64
+	// admitted is called when an attempt is admitted; nil: nothing.
+	admitted func()
 }
 
 func newNode(servers ...string) *node {
@@ -80,6 +82,9 @@
 		Admit: serving("admit", func(port.Admit) (port.Admitted, error) {
 			address := n.servers[0]
 			n.servers = n.servers[1:]
+			if n.admitted != nil {
+				n.admitted()
+			}
 			if address == "" {
 				return port.Admitted{}, result.QueueFull.Err()
 			}
@@ -261,6 +266,17 @@
 	})
 })
 
+var _ = Describe("a call whose caller has left", func() {
+	It("is not sent any more", func() {
+		address, requests := server(ok("1", "abc"))
+		ctx, cancel := context.WithCancel(context.Background())
+		n := newNode(address)
+		n.admitted = cancel
+		n.callFor(ctx, "GET", "/read/x", "")
+		Consistently(requests, "100ms").ShouldNot(Receive())
+	})
+})
+
 var _ = Describe("a node without configuration", func() {
 	// A 404 ends a request for good, a 503 lets it come back.
 	It("answers 503, not 404", func() {
