--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 .PHONY: build demo test lint measure measure-moves measure-convergence measure-routing
 
 build:
-	go build -o bin/ ./cmd/teasel-node ./cmd/teaselctl ./cmd/teasel-demo ./test/platform ./test/upstream
+	go build -o bin/ ./cmd/teasel-node ./cmd/teasel-sidecar ./cmd/teaselctl ./cmd/teasel-demo ./test/platform ./test/upstream
 	bash tools/check-libc.sh
 
 # Shows a good move finish and a bad one taken back; under 60 s.
