--- a/decision/rollout/evidence.go
+++ b/decision/rollout/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"teaselring/mesh"
@@ -15,9 +16,13 @@
 	slotSpan   = 500 * time.Millisecond
 
 	// A version fails when at least leastFailures of its calls on a route failed
-	// and their share exceeds twice that of the old version by excessFailures.
-	leastFailures  = 3
-	excessFailures = 0.1
+	// and so many would fail by chance with a probability below chance, if it were
+	// as good as the old one. Its share of failures counts spread times, and as
+	// usualFailures at least, since both versions meet different servers and times.
+	leastFailures = 3
+	chance        = 0.002
+	spread        = 1.5
+	usualFailures = 0.03
 
 	// leastOld is the number of calls of the old version on a route without which
 	// nothing is compared there: some routes fail whatever the version.
@@ -203,7 +208,8 @@
 }
 
 func (c *Counts) bad() string {
-	if c.New.Failures >= leastFailures && c.New.failed() > 2*c.Old.failed()+excessFailures {
+	usual := min(max(spread*c.Old.failed(), usualFailures), 1)
+	if c.New.Failures >= leastFailures && tail(c.New.Calls, c.New.Failures, usual) < chance {
 		return fmt.Sprintf("%d of %d calls failed, of the old version %d of %d", c.New.Failures, c.New.Calls, c.Old.Failures, c.Old.Calls)
 	}
 	if c.New.Warm >= leastSlow && c.Old.Warm >= leastSlow && float64(c.New.mean()) > slowFactor*float64(c.Old.mean()) {
@@ -212,6 +218,23 @@
 	return ""
 }
 
+// tail returns the probability that at least k of n calls fail when each fails
+// with probability p.
+func tail(n, k uint32, p float64) float64 {
+	sum := 0.0
+	for i := uint32(0); i < k; i++ {
+		sum += math.Exp(logChoose(n, i) + float64(i)*math.Log(p) + float64(n-i)*math.Log1p(-p))
+	}
+	return max(1-sum, 0)
+}
+
+func logChoose(n, k uint32) float64 {
+	all, _ := math.Lgamma(float64(n) + 1)
+	taken, _ := math.Lgamma(float64(k) + 1)
+	left, _ := math.Lgamma(float64(n-k) + 1)
+	return all - taken - left
+}
+
 // Take returns what was counted and forgets it, so that a report holds what is
 // new since the last one.
 func (e *Evidence) Take() []Counts {
--- a/decision/rollout/rollout_test.go
+++ b/decision/rollout/rollout_test.go
@@ -138,6 +138,24 @@
 		Expect(e.Bad(later)).To(ContainSubstring("on average"))
 	})
 
+	// 3 of 13 failed while 19 of 337 of the old version did: a good version was taken
+	// back in overload.
+	It("leaves room for chance when the old version fails too", func() {
+		e := NewEvidence()
+		feed(e, "v1", "x", 337, 19, time.Second, start)
+		feed(e, "v2", "x", 13, 3, time.Second, start)
+		Expect(e.Bad(start)).To(BeEmpty())
+		feed(e, "v2", "x", 5, 5, time.Second, start)
+		Expect(e.Bad(start)).NotTo(BeEmpty())
+	})
+
+	It("is judged by the binomial distribution", func() {
+		Expect(tail(3, 3, 0.5)).To(BeNumerically("~", 0.125, 1e-9))
+		Expect(tail(10, 1, 0.1)).To(BeNumerically("~", 0.6513215599, 1e-9))
+		Expect(tail(500, 400, 0.03)).To(BeNumerically("<", 1e-9))
+		Expect(tail(5, 3, 1)).To(BeNumerically("~", 1, 1e-9))
+	})
+
 	It("of several nodes adds up, and each report counts once", func() {
 		a, pooled := NewEvidence(), NewEvidence()
 		observe(a, "v1", "x", 20, 0, time.Second, start)
