--- a/decision/moves/validate.go
+++ b/decision/moves/validate.go
@@ -56,12 +56,10 @@
 	return nil
 }
 
-// announced reports whether a living node has an upstream of the version. A node
-// that is suspected for a moment, on a busy machine, has announced it as well.
 func announced(view *mesh.View, service mesh.ServiceID, version mesh.UpstreamVersion) bool {
 	for i := range view.Members {
 		m := &view.Members[i]
-		if (m.State == mesh.NodeAlive || m.State == mesh.NodeSuspect) && m.Endpoint.State != mesh.EndpointGone &&
+		if m.State == mesh.NodeAlive && m.Endpoint.State != mesh.EndpointGone &&
 			m.Endpoint.Service == service && m.Endpoint.Version == version {
 			return true
 		}
