Wait for the view in the specs of moves

It waited for the new version in the status, which asks each node for its own upstream; the node that was then asked to start the move had not heard of it yet. The spec now starts the move as soon as that node knows both versions; any other refusal fails it as before.

--- a/test/suite/moves_test.go
+++ b/test/suite/moves_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"teaselring/mesh"
+	"teaselring/result"
 	"teaselring/test/harness"
 	"teaselring/test/standin"
 )
@@ -45,11 +46,23 @@
 	return m
 }
 
+// startMove starts a move, once the node has heard of both versions. The status
+// that a spec waited for before asks each node for its own upstream, which the
+// view of the node that is asked to start the move may not have yet.
 func startMove(c *harness.Cluster, n *harness.Node, id string, target time.Duration) {
 	GinkgoHelper()
 	body := fmt.Sprintf(`{"id":%q,"service":"stock","old":"v1","new":"v2","target":%q}`,
 		id, time.Now().Add(target).Format(time.RFC3339))
-	status, answer := c.Operate(n, http.MethodPost, "/v1/moves", body)
+	var status int
+	var answer string
+	c.H.Until("the node to know both versions", func() error {
+		status, answer = c.Operate(n, http.MethodPost, "/v1/moves", body)
+		var refusal struct{ Code int }
+		if json.Unmarshal([]byte(answer), &refusal) == nil && refusal.Code == result.MoveUnknownVersion.Number {
+			return fmt.Errorf("not yet: %s", answer)
+		}
+		return nil
+	})
 	Expect(status).To(Equal(http.StatusOK), answer)
 }
 
