Write waits, node order and refusals at the edge once

kernel.Sleep serves three plug-ins, mesh.View.Ranked the order of judges and of the nodes that follow the store, and one function of the outbound edge answers requests that are not passed on. A node judges its own evidence by the way of reports that it receives.

--- a/decision/replica/readers.go
+++ b/decision/replica/readers.go
@@ -1,11 +1,6 @@
 package replica
 
-import (
-	"hash/fnv"
-	"sort"
-
-	"teaselring/mesh"
-)
+import "teaselring/mesh"
 
 // Source returns whether the node itself follows the store, and if not, the
 // node of its zone that it follows: the first in an order that all agree on.
@@ -15,7 +10,7 @@
 	if view == nil {
 		return true, nil
 	}
-	for _, m := range ranked(view, self.Zone) {
+	for _, m := range view.Ranked("", func(m *mesh.Member) bool { return m.Zone == self.Zone }) {
 		if m.Node == self.Node {
 			return true, nil
 		}
@@ -25,22 +20,3 @@
 	}
 	return true, nil
 }
-
-// ranked returns the nodes of a zone in an order that all nodes agree on and that
-// changes little when one comes or goes.
-func ranked(view *mesh.View, zone mesh.Zone) []*mesh.Member {
-	var members []*mesh.Member
-	weights := map[mesh.NodeID]uint64{}
-	for i := range view.Members {
-		m := &view.Members[i]
-		if m.Zone != zone {
-			continue
-		}
-		h := fnv.New64a()
-		_, _ = h.Write([]byte(m.Node))
-		weights[m.Node] = h.Sum64()
-		members = append(members, m)
-	}
-	sort.Slice(members, func(i, j int) bool { return weights[members[i].Node] > weights[members[j].Node] })
-	return members
-}
--- a/decision/rollout/schedule.go
+++ b/decision/rollout/schedule.go
@@ -4,7 +4,6 @@
 package rollout
 
 import (
-	"hash/fnv"
 	"sort"
 	"time"
 
@@ -110,15 +109,5 @@
 	if view == nil {
 		return nil
 	}
-	judges := make([]*mesh.Member, len(view.Members))
-	weights := map[mesh.NodeID]uint64{}
-	for i := range view.Members {
-		m := &view.Members[i]
-		judges[i] = m
-		h := fnv.New64a()
-		_, _ = h.Write([]byte(string(service) + "/" + string(m.Node)))
-		weights[m.Node] = h.Sum64()
-	}
-	sort.Slice(judges, func(i, j int) bool { return weights[judges[i].Node] > weights[judges[j].Node] })
-	return judges
+	return view.Ranked(string(service)+"/", func(*mesh.Member) bool { return true })
 }
--- a/plugins/callforward/exchange.go
+++ b/plugins/callforward/exchange.go
@@ -39,7 +39,7 @@
 		}
 		err = c.truthful(err)
 		verdict := c.judge(ctx, outcome)
-		if verdict.Retry && sleep(ctx, verdict.Wait) == nil {
+		if verdict.Retry && kernel.Sleep(ctx, verdict.Wait) == nil {
 			continue
 		}
 		c.refuse(w, outcome, verdict, err)
@@ -100,17 +100,6 @@
 	copyAnswer(w, answer, c.patience)
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // attempt picks a target and runs the call there once.
 func (c *exchange) attempt(ctx context.Context) (*http.Response, mesh.Outcome, error) {
 	outcome := mesh.Outcome{Route: c.call.Route, Caller: c.call.Caller, Class: c.call.Class}
--- a/plugins/callrelay/call.go
+++ b/plugins/callrelay/call.go
@@ -102,14 +102,7 @@
 	if err != nil || !verdict.Retry {
 		return false
 	}
-	timer := time.NewTimer(verdict.Wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return kernel.Sleep(ctx, verdict.Wait) == nil
 }
 
 // attempt picks a target and runs the call there once.
--- a/plugins/crashspread/setup.go
+++ b/plugins/crashspread/setup.go
@@ -23,7 +23,6 @@
 
 const (
 	pushRing  = "links.push"
-	crashRing = "slots.crashes"
 	crashPath = "/crash"
 	// tellTimeout bounds the telling of one node.
 	tellTimeout = 500 * time.Millisecond
--- a/plugins/edgeoutbound/client.go
+++ b/plugins/edgeoutbound/client.go
@@ -136,7 +136,6 @@
 	_ = c.conn.SetReadDeadline(time.Time{})
 	x := &exchange{request: request, answer: make(chan *port.Answer, 1), arrived: arrived, last: request.Close || !request.ProtoAtLeast(1, 1)}
 	if err := check(request, limits.BodyBytes); err != nil {
-		x.last = true
 		return c.refuse(x, err)
 	}
 	if !repeatable(request) && !c.awaitAnswers() {
@@ -186,11 +185,16 @@
 		c.leave()
 		return false
 	}
-	x := &exchange{request: &http.Request{Method: http.MethodGet}, answer: make(chan *port.Answer, 1), last: true}
+	c.answerLast(&exchange{request: &http.Request{Method: http.MethodGet}, answer: make(chan *port.Answer, 1)}, status)
+	return false
+}
+
+// answerLast answers a request that is not passed on. The connection ends then.
+func (c *client) answerLast(x *exchange, status int) {
+	x.last = true
 	c.open.Add(1)
 	c.queue <- x
 	x.answer <- &port.Answer{Status: status, Header: http.Header{}}
-	return false
 }
 
 // check refuses requests that another program might read in another way.
@@ -214,14 +218,12 @@
 }
 
 func (c *client) refuse(x *exchange, err error) bool {
-	c.open.Add(1)
-	c.queue <- x
 	status := http.StatusBadRequest
 	if result.Of(err) == result.BodyTooLarge {
 		status = http.StatusRequestEntityTooLarge
 	}
 	c.edge.Logger.Warn().Err(err).Int("status", status).Msg("request refused")
-	x.answer <- &port.Answer{Status: status, Header: http.Header{}}
+	c.answerLast(x, status)
 	return false
 }
 
--- a/plugins/membershiprows/setup.go
+++ b/plugins/membershiprows/setup.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sort"
+	"strings"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/phuslu/log"
@@ -105,9 +106,9 @@
 		return e.member
 	}
 	e := entry{revision: r.Revision}
-	if len(r.Key) > len(port.NodeRowPrefix) && r.Key[:len(port.NodeRowPrefix)] == port.NodeRowPrefix {
+	if name, ok := strings.CutPrefix(r.Key, port.NodeRowPrefix); ok && name != "" {
 		var m mesh.Member
-		if err := cbor.Unmarshal(r.Value, &m); err != nil || port.NodeRowPrefix+string(m.Node) != r.Key || m.PeerAddress == "" {
+		if err := cbor.Unmarshal(r.Value, &m); err != nil || string(m.Node) != name || m.PeerAddress == "" {
 			d.Logger.Warn().Str("key", r.Key).Err(err).Msg("row of a node can't be read")
 		} else {
 			e.member = &m
--- a/plugins/rolloutrows/rollouts.go
+++ b/plugins/rolloutrows/rollouts.go
@@ -169,7 +169,7 @@
 	d.Logger.Warn().Str("service", string(id)).Str("version", string(s.rollout.New)).Str("why", why).Msg("new version is bad")
 }
 
-// report sends what this node observed to the judging node, or judges it.
+// report judges what this node observed, and sends it to the judging node.
 func (d *duty) report(ctx context.Context) {
 	now := time.Now()
 	for id, s := range d.services {
@@ -178,9 +178,9 @@
 			continue
 		}
 		r := report{Service: id, Order: s.rollout.Order, Routes: routes}
+		d.receive(&r, now)
 		judges := rollout.Judges(id, d.View.Load())
 		if len(judges) == 0 || judges[0].Node == d.Identity.Node {
-			d.receive(&r, now)
 			continue
 		}
 		out := sending{report: r}
@@ -189,10 +189,6 @@
 				out.judges = append(out.judges, m.PeerAddress)
 			}
 		}
-		s.pooled.Add(routes, now)
-		if why := s.pooled.Bad(now); why != "" {
-			d.condemn(id, s.rollout.Order, why)
-		}
 		_ = d.Reports.Send(ctx, out) // replaces the oldest, never fails
 	}
 }
--- a/plugins/storereplica/sync.go
+++ b/plugins/storereplica/sync.go
@@ -114,7 +114,7 @@
 	if !s.Rows.Load().Seen().Behind(hint.Seen) {
 		return
 	}
-	pause(ctx, syncDelay)
+	_ = kernel.Sleep(ctx, syncDelay)
 	if !s.Rows.Load().Seen().Behind(hint.Seen) {
 		return
 	}
--- a/plugins/storereplica/watch.go
+++ b/plugins/storereplica/watch.go
@@ -67,7 +67,7 @@
 		return err
 	}
 	if len(changes.Rows) > 0 && w.pause > 0 {
-		pause(ctx, w.pause)
+		_ = kernel.Sleep(ctx, w.pause)
 	}
 	return nil
 }
@@ -102,7 +102,7 @@
 	if w.failures == 0 {
 		w.logger.Warn().Str("table", w.table).Err(err).Msg("store lost")
 	}
-	pause(ctx, kernel.Backoff(w.failures, retryLeast, retryMost))
+	_ = kernel.Sleep(ctx, kernel.Backoff(w.failures, retryLeast, retryMost))
 	w.failures++
 }
 
@@ -112,12 +112,3 @@
 		w.failed(ctx, err)
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
