Count requests in hand while stopping; notice leaving callers at the owner node

The owner node left bodies unread while a call waited for its slot, so calls of clients that had gone were still sent. - A server may reject a long body before it has read it and read on later.

--- a/plugins/callrelay/exchange.go
+++ b/plugins/callrelay/exchange.go
@@ -39,6 +39,9 @@
 	matches func(*http.Response) bool
 	// kept returns how long the connection may idle after the answer.
 	kept func(*http.Response) time.Duration
+	// readsLate is set when the other side may reject a long body before it has
+	// read it, and read on later.
+	readsLate bool
 
 	conn   *connection
 	sent   chan error // of the body, when it is sent aside
@@ -205,7 +208,8 @@
 func (x *exchange) release(ctx context.Context, response *http.Response, strays int) {
 	idle := x.kept(response)
 	whole := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	if ctx.Err() != nil || response.Close || !whole || strays > 0 || idle <= 0 || x.conn.reader.Buffered() > 0 || !x.bodySent() {
+	complete := whole && strays == 0 && x.conn.reader.Buffered() == 0 && !x.bodyUnread(response) && x.bodySent()
+	if ctx.Err() != nil || response.Close || idle <= 0 || !complete {
 		_ = x.conn.Close()
 		return
 	}
@@ -213,6 +217,12 @@
 	x.pool.put(x.conn, idle)
 }
 
+// bodyUnread reports whether a part of a long body may still be in the buffers
+// of the connection. A request behind it would wait until the other side reads on.
+func (x *exchange) bodyUnread(response *http.Response) bool {
+	return x.readsLate && x.sent != nil && response.StatusCode >= http.StatusMultipleChoices
+}
+
 // bodySent reports whether all of the body was sent. An answer may be complete
 // before; the rest of the body must not be taken for the next request.
 func (x *exchange) bodySent() bool {
--- /dev/null
+++ b/plugins/callrelay/leaving_test.go
@@ -0,0 +1,101 @@
+package callrelay
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"teaselring/kernel"
+	"teaselring/mesh"
+	"teaselring/port"
+	"teaselring/wire"
+)
+
+// net/http notices that a client has left only after the whole body was read. A
+// call whose body was left unread while it waited for a slot was sent to the
+// server after its client had gone.
+var _ = DescribeTable("an attempt that waits for a slot ends when the entry node leaves",
+	func(body string) {
+		n := newNode()
+		admits := kernel.NewRing[kernel.Ask[port.Admit, port.Admitted]]("admit", 1, kernel.Refuse)
+		n.entry.owner.Admit = admits
+		edge := httptest.NewServer(n.entry.owner)
+		DeferCleanup(edge.Close)
+
+		ctx, leave := context.WithCancel(context.Background())
+		r, err := http.NewRequestWithContext(ctx, http.MethodPost, edge.URL+"/once/x", strings.NewReader(body))
+		Expect(err).NotTo(HaveOccurred())
+		call := mesh.Call{Method: http.MethodPost, Path: "/once/x", Class: mesh.ClassOnce, Service: "s", Deadline: time.Now().Add(time.Minute)}
+		(&wire.Attempt{ID: "1/1", Call: call, Target: mesh.Target{Node: "n", Service: "s"}}).Write(r.Header, time.Now())
+		go func() {
+			if answer, err := http.DefaultClient.Do(r); err == nil {
+				_ = answer.Body.Close()
+			}
+		}()
+		var ask kernel.Ask[port.Admit, port.Admitted]
+		Eventually(admits.C(), "5s").Should(Receive(&ask))
+		Expect(ask.Closed()).To(BeFalse())
+		leave()
+		Eventually(ask.Closed, "5s").Should(BeTrue())
+	},
+	Entry("without a body", ""),
+	Entry("with a body", "charge"),
+	Entry("with a body longer than the buffers", strings.Repeat("x", 200_000)),
+)
+
+// rejectingServer answers the first request of each connection before it has
+// read the body, and reads on only when told to.
+func rejectingServer(readOn <-chan struct{}) (address string) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	serve := func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		reader := bufio.NewReader(c)
+		for {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			if r.Method == http.MethodPost {
+				_, _ = io.WriteString(c, "HTTP/1.1 503 Busy\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+				<-readOn
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			if r.Method == http.MethodGet {
+				_, _ = io.WriteString(c, ok("1", "abc"))
+			}
+		}
+	}
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+var _ = Describe("a connection on which a long body was rejected", func() {
+	// The body may sit in the buffers of the connection until the server reads on;
+	// the next request waited behind it, beyond the time at which its client left.
+	It("carries no further request", func() {
+		readOn := make(chan struct{})
+		DeferCleanup(func() { close(readOn) })
+		address := rejectingServer(readOn)
+		n := newNode(address, address)
+		Expect(n.call("POST", "/once/x", strings.Repeat("x", 40_000)).Status).To(Equal(503))
+		Expect(string(n.call("GET", "/read/x", "").Held)).To(Equal("abc"))
+	})
+})
--- a/plugins/edgeoutbound/client.go
+++ b/plugins/edgeoutbound/client.go
@@ -124,6 +124,8 @@
 	if !c.awaitRequest() {
 		return false
 	}
+	c.edge.inHand.Add(1)
+	defer c.edge.inHand.Add(-1)
 	limits := c.edge.limits()
 	arrived := time.Now()
 	_ = c.conn.SetReadDeadline(arrived.Add(limits.HeaderTimeout))
@@ -192,8 +194,7 @@
 // answerLast answers a request that is not passed on. The connection ends then.
 func (c *client) answerLast(x *exchange, status int) {
 	x.last = true
-	c.open.Add(1)
-	c.queue <- x
+	c.enqueue(x)
 	x.answer <- &port.Answer{Status: status, Header: http.Header{}}
 }
 
@@ -217,6 +218,14 @@
 	return nil
 }
 
+// enqueue puts an exchange into the order of answers. The queue has places while
+// its writer runs, which is until the reader closes it.
+func (c *client) enqueue(x *exchange) {
+	c.open.Add(1)
+	c.edge.inHand.Add(1)
+	c.queue <- x
+}
+
 func (c *client) refuse(x *exchange, err error) bool {
 	status := http.StatusBadRequest
 	if result.Of(err) == result.BodyTooLarge {
@@ -267,12 +276,7 @@
 		r.Length = int64(len(held))
 	}
 	c.edge.requests.Inc(1)
-	c.open.Add(1)
-	select {
-	case c.queue <- x:
-	case <-c.ctx.Done():
-		return false
-	}
+	c.enqueue(x)
 	if !streams {
 		go c.serve(x, r)
 		return !x.last
@@ -294,14 +298,12 @@
 	for x := range c.queue {
 		if ended {
 			c.drop(x)
-			continue
-		}
-		if a := c.await(x); a != nil {
-			ended = !c.send(x, a)
 		} else {
-			ended = true
+			a := c.await(x)
+			ended = a == nil || !c.send(x, a)
 		}
 		c.open.Add(-1)
+		c.edge.inHand.Add(-1)
 		select {
 		case c.idle <- struct{}{}:
 		default:
@@ -320,14 +322,11 @@
 	}
 }
 
-// drop ends an exchange whose answer can't be sent.
+// drop ends an exchange whose answer can't be sent. Its call ends soon, since
+// the context has; the rest of a long answer holds a slot until it is closed.
 func (c *client) drop(x *exchange) {
-	select {
-	case a := <-x.answer:
-		if a.Rest != nil {
-			_ = a.Rest.Close()
-		}
-	default:
+	if a := <-x.answer; a.Rest != nil {
+		_ = a.Rest.Close()
 	}
 }
 
@@ -367,7 +366,9 @@
 
 // finish ends the connection after its last answer. The reader, which may wait
 // for a request, sees the end; what the client still sends is not read as one.
+// Requests behind the last answer end: the client sends them again.
 func (c *client) finish() {
+	c.leave()
 	if half, ok := c.conn.(interface{ CloseWrite() error }); ok {
 		_ = half.CloseWrite()
 	}
--- a/plugins/edgeoutbound/edgeoutbound_test.go
+++ b/plugins/edgeoutbound/edgeoutbound_test.go
@@ -28,12 +28,17 @@
 
 // serving starts an edge whose call path is path, and connects to it.
 func serving(limits mesh.EdgeLimits, path port.CallPath) net.Conn {
+	conn, _ := connected(limits, path)
+	return conn
+}
+
+func connected(limits mesh.EdgeLimits, path port.CallPath) (net.Conn, *edge) {
 	snapshot := new(port.SnapshotCell)
 	snapshot.Store(&mesh.Snapshot{Limits: limits})
 	e := &edge{
 		edgeIn: edgeIn{
 			Site: &port.Site{Outbound: netip.MustParseAddrPort("127.0.0.1:0")}, Path: path, Snapshot: snapshot,
-			Grace: new(kernel.Grace), Logger: kernel.NewLogger(io.Discard),
+			Calls: func() int64 { return 0 }, Grace: new(kernel.Grace), Logger: kernel.NewLogger(io.Discard),
 		},
 		connections: metrics.NewCounter(), requests: metrics.NewCounter(), latency: metrics.NilHistogram{},
 	}
@@ -42,7 +47,7 @@
 	conn, err := net.Dial("tcp", e.socket.Addr().String())
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() { _ = conn.Close() }) // a spec may have closed it
-	return conn
+	return conn, e
 }
 
 func answer(text string) *port.Answer {
@@ -185,6 +190,58 @@
 	})
 })
 
+// A stopping node ended between the arrival of a request and its call, or between
+// the answer and its last byte; the client saw the connection end.
+var _ = Describe("a node is busy", func() {
+	const head = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 6\r\n\r\n"
+
+	It("while a request arrives", func() {
+		conn, e := connected(mesh.EdgeLimits{}, echo)
+		_, _ = io.WriteString(conn, head+"abc")
+		Eventually(e.busy, "5s").Should(BeTrue())
+		Consistently(e.busy, "100ms").Should(BeTrue())
+		_, _ = io.WriteString(conn, "def")
+		_, body := read(bufio.NewReader(conn))
+		Expect(body).To(Equal("/aabcdef"))
+		Eventually(e.busy, "5s").Should(BeFalse())
+	})
+
+	It("while an answer is written", func() {
+		conn, e := connected(mesh.EdgeLimits{}, func(context.Context, *port.Request) *port.Answer {
+			return answer(strings.Repeat("x", 32<<20))
+		})
+		_, _ = io.WriteString(conn, get("/1"))
+		reader := bufio.NewReader(conn)
+		_, err := reader.Peek(1)
+		Expect(err).NotTo(HaveOccurred())
+		Consistently(e.busy, "100ms").Should(BeTrue())
+		_, body := read(reader)
+		Expect(body).To(HaveLen(32 << 20))
+		Eventually(e.busy, "5s").Should(BeFalse())
+	})
+})
+
+// The slot of the call was held until the node ended.
+var _ = Describe("a long answer whose client has left", func() {
+	It("is closed", func() {
+		closed := make(chan struct{})
+		conn := serving(mesh.EdgeLimits{}, func(ctx context.Context, _ *port.Request) *port.Answer {
+			<-ctx.Done()
+			time.Sleep(50 * time.Millisecond) // the writer has given up by then
+			return &port.Answer{Status: 200, Header: http.Header{}, Rest: closer(func() { close(closed) }), Length: -1}
+		})
+		_, _ = io.WriteString(conn, get("/1"))
+		time.Sleep(20 * time.Millisecond)
+		Expect(conn.Close()).To(Succeed())
+		Eventually(closed, "5s").Should(BeClosed())
+	})
+})
+
+type closer func()
+
+func (closer) Read([]byte) (int, error) { return 0, io.EOF }
+func (c closer) Close() error           { c(); return nil }
+
 // A server must get exactly one clean request or none.
 var _ = DescribeTable("a request that is refused",
 	func(request string, status int) {
--- a/plugins/edgeoutbound/setup.go
+++ b/plugins/edgeoutbound/setup.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -60,6 +61,10 @@
 type edge struct {
 	edgeIn
 	socket net.Listener
+	// inHand counts the requests of which a byte was read and whose answer is not
+	// written yet. The call path counts a call only once its body was read, and no
+	// longer when its answer is ready.
+	inHand atomic.Int64
 
 	connections, requests metrics.Counter
 	latency               metrics.Histogram
@@ -122,7 +127,7 @@
 			return
 		case <-ticker.C:
 		}
-		if e.Calls() > 0 {
+		if e.busy() {
 			quiet = time.Now()
 		}
 		stopped := e.Grace.StoppingFor()
@@ -137,6 +142,9 @@
 	}
 }
 
+// busy reports whether a request that reached this node is not answered yet.
+func (e *edge) busy() bool { return e.Calls() > 0 || e.inHand.Load() > 0 }
+
 // limits returns the limits of the configuration in force.
 func (e *edge) limits() mesh.EdgeLimits {
 	l := mesh.EdgeLimits{
