Do not take refusals with slots free for overload

Change: the limit falls only when the server reports no free slot (or, without a report, all its slots are in use here). Entry nodes count such refusals as failures, and judge an endpoint's failures against those of the others, so that calls stay in their zone when all of them fail alike.

Ruled out: load, since servers reported 5 to 8 of 12 slots in use.

--- a/decision/limit/slots.go
+++ b/decision/limit/slots.go
@@ -302,15 +302,17 @@
 func (s *Slots) Abandon(id mesh.AttemptID) { s.free(id) }
 
 // Release frees the slot of an attempt. Shed tells that the upstream refused
-// it under load. Unknown attempts are ignored.
-func (s *Slots) Release(id mesh.AttemptID, shed bool, now time.Time) {
+// it, with the load that it reported then; nil: none. Unknown attempts are ignored.
+func (s *Slots) Release(id mesh.AttemptID, shed bool, reported *mesh.Load, now time.Time) {
 	full := len(s.running) >= s.Limit()
 	r, ok := s.free(id)
 	if !ok {
 		return
 	}
 	if shed {
-		s.adaptive.decrease(now, &s.params)
+		if overloaded(reported, full) {
+			s.adaptive.decrease(now, &s.params)
+		}
 		return
 	}
 	s.adaptive.increase(full, s.slots)
@@ -321,6 +323,17 @@
 	*mean += holdWeight * (held - *mean)
 }
 
+// overloaded reports whether an upstream that refused a call did so for want of
+// slots. One that refuses a part of its calls at any load would be given fewer
+// calls without refusing a smaller part. All calls to it pass this node, so
+// without a report the calls that run tell.
+func overloaded(reported *mesh.Load, full bool) bool {
+	if reported == nil || reported.Limit <= 0 {
+		return full
+	}
+	return reported.Queued > 0 || reported.InFlight >= reported.Limit
+}
+
 // holdWeight is the weight of a new sample in the average hold time.
 const holdWeight = 0.05
 
--- a/decision/limit/slots_test.go
+++ b/decision/limit/slots_test.go
@@ -64,7 +64,7 @@
 		_, _, code = o.ask(mesh.ClassRead, start, time.Second)
 		Expect(code).To(Equal(result.QueueFull))
 		Expect(o.Load()).To(Equal(mesh.Load{InFlight: 2, Queued: 1, Limit: 2}))
-		o.Release("1", false, at(time.Millisecond))
+		o.Release("1", false, nil, at(time.Millisecond))
 		Expect(o.dispatch(at(time.Millisecond))).To(ConsistOf(mesh.AttemptID("3")))
 	})
 
@@ -92,7 +92,7 @@
 		Expect(lost(mesh.ClassOnce, "y")).To(BeEquivalentTo("3"))
 		_, _, code := o.ask(mesh.ClassRead, start, time.Second)
 		Expect(code).To(Equal(result.QueueFull))
-		o.Release("1", false, start)
+		o.Release("1", false, nil, start)
 		Expect(o.dispatch(start)).To(ConsistOf(mesh.AttemptID("x")))
 	})
 
@@ -104,7 +104,7 @@
 			deadline, _ := o.NextDeadline()
 			Expect(deadline).To(Equal(at(min(timeout, 250*time.Millisecond))))
 			o.SetDraining(drain)
-			o.Release("1", false, at(later))
+			o.Release("1", false, nil, at(later))
 			started, refused := o.Dispatch(at(later))
 			Expect(started).To(BeEmpty())
 			Expect(refused).To(HaveLen(1))
@@ -119,7 +119,7 @@
 		o := newOwner(1, 2)
 		o.fill(mesh.ClassRead, 3)
 		Expect(o.Prune(func(id mesh.AttemptID) bool { return id == "2" })).To(ConsistOf(mesh.AttemptID("2")))
-		o.Release("1", false, start)
+		o.Release("1", false, nil, start)
 		Expect(o.dispatch(start)).To(ConsistOf(mesh.AttemptID("3")))
 	})
 
@@ -135,12 +135,12 @@
 		Entry("before an upstream is known", func(o *owner) { o.Resize(0, 8) }, time.Second, result.Draining),
 		Entry("when the expected wait exceeds the deadline", func(o *owner) {
 			o.fill(mesh.ClassRead, 1)
-			o.Release("1", false, at(100*time.Millisecond))
+			o.Release("1", false, nil, at(100*time.Millisecond))
 			o.fill(mesh.ClassRead, 1)
 		}, 50*time.Millisecond, result.QueueFull),
 		Entry("but not because an upload was slow", func(o *owner) {
 			o.fill(mesh.ClassUpload, 1)
-			o.Release("1", false, at(time.Minute))
+			o.Release("1", false, nil, at(time.Minute))
 			o.fill(mesh.ClassRead, 1)
 		}, 50*time.Millisecond, result.OK),
 	)
@@ -154,7 +154,7 @@
 				o.ask(mesh.ClassRead, now, time.Second)
 			}
 			for id := range o.running {
-				o.Release(id, shed, now)
+				o.Release(id, shed, nil, now)
 			}
 		}
 		cycle(true)
@@ -169,6 +169,26 @@
 		Expect(o.Limit()).To(Equal(8))
 	})
 
+	// A server that refused every second call at any load was left with one slot, and
+	// most calls of its service were refused.
+	It("keeps the limit when an upstream refuses calls with slots free", func() {
+		o := newOwner(8, 0)
+		refuse := func(calls int, reported *mesh.Load, now time.Time) {
+			for range calls {
+				o.ask(mesh.ClassRead, now, time.Second)
+			}
+			for id := range o.running {
+				o.Release(id, true, reported, now)
+			}
+		}
+		refuse(8, &mesh.Load{InFlight: 3, Limit: 8}, at(time.Second))
+		Expect(o.Limit()).To(Equal(8), "the upstream reported free slots")
+		refuse(3, nil, at(2*time.Second))
+		Expect(o.Limit()).To(Equal(8), "no report, but slots are free")
+		refuse(1, &mesh.Load{InFlight: 8, Limit: 8}, at(3*time.Second))
+		Expect(o.Limit()).To(Equal(5), "the upstream reported none")
+	})
+
 	It("keeps its bounds and loses no call in any order of events", func() {
 		rnd := rand.New(rand.NewPCG(7, 7))
 		o := newOwner(6, 5)
@@ -191,7 +211,7 @@
 			}
 			for running := range o.running {
 				if rnd.IntN(12) == 0 {
-					o.Release(running, rnd.IntN(50) == 0, now)
+					o.Release(running, rnd.IntN(50) == 0, nil, now)
 					drop(running)
 				}
 			}
--- a/decision/routing/choose.go
+++ b/decision/routing/choose.go
@@ -125,6 +125,7 @@
 		spill = r.params.RegionSpill
 	}
 	latency, failures := e.history(s.expected, now, r.params.HistoryTrust)
+	failures = s.excess(e, failures, now, r.params.HistoryTrust)
 	if !q.Call.Aim.IsZero() {
 		return failures < 0.5 && score <= r.params.StayNear*float64(q.Call.Aim.Sub(now))
 	}
@@ -165,7 +166,7 @@
 		expected = float64(time.Millisecond)
 	}
 	call, failures := e.history(expected, now, r.params.HistoryTrust)
-	call *= 1 + r.params.FailureCost*failures
+	call *= 1 + r.params.FailureCost*s.excess(e, failures, now, r.params.HistoryTrust)
 	load := e.load(now, &r.params)
 	return float64(way) + call*(s.scale(q.Call.Route)+pressure(load, e.capacity()))
 }
--- a/decision/routing/endpoint.go
+++ b/decision/routing/endpoint.go
@@ -108,7 +108,9 @@
 			return
 		}
 	case shed(o):
-		e.full(now, p)
+		if busy(o) {
+			e.full(now, p)
+		}
 	case s != nil:
 		e.silent = 0
 		if e.latency == 0 {
@@ -118,11 +120,16 @@
 		e.recover(now)
 	}
 	e.observed = now
-	failed := 0.0
-	if o.Failed && !shed(o) {
-		failed = 1
+	e.failures += weight * (failureOf(o) - e.failures)
+}
+
+// failureOf returns 1 for an outcome that tells against the upstream, else 0. A
+// refusal with slots free does; it spares no work of others.
+func failureOf(o *mesh.Outcome) float64 {
+	if (o.Failed && !shed(o)) || (shed(o) && !busy(o)) {
+		return 1
 	}
-	e.failures += weight * (failed - e.failures)
+	return 0
 }
 
 // history returns the average time of an answer and the share of failures. Both
@@ -132,10 +139,7 @@
 	if e.observed.IsZero() {
 		return expected, 0
 	}
-	weight := math.Exp(-float64(now.Sub(e.observed)) / float64(trust))
-	if weight < leastWeight {
-		weight = 0
-	}
+	weight := e.trusted(now, trust)
 	latency = expected
 	if e.latency > 0 {
 		latency += weight * (e.latency - expected)
@@ -143,6 +147,18 @@
 	return latency, weight * e.failures
 }
 
+// trusted returns the weight of the history, less the older it is.
+func (e *endpoint) trusted(now time.Time, trust time.Duration) float64 {
+	if e.observed.IsZero() {
+		return 0
+	}
+	weight := math.Exp(-float64(now.Sub(e.observed)) / float64(trust))
+	if weight < leastWeight {
+		return 0
+	}
+	return weight
+}
+
 // leastWeight is the weight below which history is ignored. Without it an idle
 // endpoint that was once slow would lose every comparison for good.
 const leastWeight = 0.05
@@ -218,6 +234,12 @@
 	return o.Shed
 }
 
+// busy reports whether a refusal was for want of slots, by the load of the owner
+// node at that time. Its own refusals always are.
+func busy(o *mesh.Outcome) bool {
+	return o.Code != result.Shed.Number || o.Load == nil || o.Load.Queued > 0 || o.Load.InFlight+1 >= o.Load.Limit
+}
+
 // answered reports whether the upstream ran the call and answered.
 func answered(o *mesh.Outcome) bool { return o.Code == 0 && !o.Shed && o.Status != 0 }
 
--- /dev/null
+++ b/decision/routing/failures_test.go
@@ -0,0 +1,57 @@
+package routing
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"teaselring/mesh"
+	"teaselring/result"
+)
+
+// refuse ends attempts that a server with free slots refused.
+func (r *Router) refuse(node mesh.NodeID, times int, load mesh.Load, now time.Time) {
+	target := mesh.Target{Node: node, Incarnation: 1, Service: "s", Version: "v"}
+	for range times {
+		r.Begin(target, now)
+		r.End(mesh.Outcome{Target: target, Route: "x", Code: result.Shed.Number, Shed: true, Load: &load}, now)
+	}
+}
+
+var _ = Describe("servers that refuse calls with slots free", func() {
+	const aim = 500 * time.Millisecond
+	free := mesh.Load{InFlight: 1, Limit: 4}
+	run := func(near, far int) (r *Router, now time.Time) {
+		r, now = nearAndFar(), start
+		for range 40 {
+			now = now.Add(20 * time.Millisecond)
+			r.answer("far-home", "x", 100*time.Millisecond, now)
+			r.answer("far", "x", 100*time.Millisecond, now)
+			r.refuse("far-home", near, free, now)
+			r.refuse("far", far, free, now)
+		}
+		return r, now.Add(baselineAge)
+	}
+
+	// Such refusals counted as load, which passes; the server went on to get calls.
+	It("are avoided when others answer", func() {
+		r, now := run(3, 0)
+		Expect(r.pickNode("x", aim, now)).To(BeEquivalentTo("far"))
+	})
+
+	// Every call left its zone, though the other zones refused as many.
+	It("are used from their zone when all of them do", func() {
+		r, now := run(3, 3)
+		for range 20 {
+			Expect(r.pickNode("x", aim, now)).To(BeEquivalentTo("far-home"))
+		}
+	})
+
+	It("do not count as full", func() {
+		r, now := run(1, 1)
+		Expect(r.nodes["far-home"].load(now, &r.params)).To(BeNumerically("<", 3))
+		r.refuse("far-home", 1, mesh.Load{InFlight: 4, Queued: 1, Limit: 4}, now)
+		Expect(r.nodes["far-home"].load(now, &r.params)).To(BeNumerically(">=", 3.9))
+	})
+})
--- a/decision/routing/router.go
+++ b/decision/routing/router.go
@@ -108,6 +108,7 @@
 	// endpoint that got the long calls does not count as slow.
 	routes   map[mesh.RouteID]float64
 	observed time.Time // the last answer
+	failures baseline
 }
 
 // maxRoutes bounds the routes with an average of their own.
--- a/plugins/callrelay/owner.go
+++ b/plugins/callrelay/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -104,8 +105,8 @@
 		}
 		return nil, err
 	}
-	answer, err := o.send(ctx, a, body, admitted)
-	released := port.Released{Attempt: a.ID}
+	answer, load, err := o.send(ctx, a, body, admitted)
+	released := port.Released{Attempt: a.ID, Load: load}
 	if err != nil {
 		code := result.Of(err)
 		released.Shed, released.Lost, released.Down = code == result.Shed, code == result.UpstreamLost, code == result.ConnectFailed
@@ -141,8 +142,8 @@
 	}
 }
 
-// send runs the attempt on the server.
-func (o *owner) send(ctx context.Context, a *wire.Attempt, body *port.Request, to port.Admitted) (*port.Answer, error) {
+// send runs the attempt on the server. The load is what the server reported.
+func (o *owner) send(ctx context.Context, a *wire.Attempt, body *port.Request, to port.Admitted) (*port.Answer, *mesh.Load, error) {
 	request := outgoing(body.Request)
 	h := request.Header
 	id := h.Get(o.Headers.RequestID)
@@ -164,15 +165,16 @@
 		err = result.UpstreamLost.Errorf("%v", err)
 	}
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
+	load := o.Headers.ReadLoad(answer.Header)
 	if err := o.judge(answer, id); err != nil {
 		if answer.Rest != nil {
 			_ = answer.Rest.Close()
 		}
-		return nil, err
+		return nil, load, err
 	}
-	return answer, nil
+	return answer, load, nil
 }
 
 // judge decides what a server's answer is worth: an answer to the request, its
@@ -180,7 +182,11 @@
 func (o *owner) judge(a *port.Answer, id string) error {
 	h := a.Header
 	if h.Get(o.Headers.NotRun) != "" {
-		return result.Shed.Errorf("the server answered %d and did not run the request", a.Status)
+		load := "no load"
+		if l := o.Headers.ReadLoad(h); l != nil {
+			load = fmt.Sprintf("%d running and %d waiting on %d slots", l.InFlight, l.Queued, l.Limit)
+		}
+		return result.Shed.Errorf("the server answered %d, did not run the request and reported %s", a.Status, load)
 	}
 	success := a.Status >= 200 && a.Status < 300
 	switch {
--- a/plugins/callrelay/relay_test.go
+++ b/plugins/callrelay/relay_test.go
@@ -39,7 +39,7 @@
 // headers are those of a platform of this test.
 var headers = port.CallHeaders{
 	RequestID: "Id", DeadlineMS: "Left", Signature: "Proof", Expect: "Only", Instance: "Server", NotRun: "Not-Run",
-	Caller: "From",
+	Caller: "From", ReadLoad: func(http.Header) *mesh.Load { return nil },
 }
 
 // node is an entry node whose router and slots are scripted. Its only targets
--- a/plugins/callslots/slots.go
+++ b/plugins/callslots/slots.go
@@ -244,7 +244,7 @@
 		d.upstream.noteLost(a.process, call.Fingerprint, now)
 		return
 	}
-	d.slots.Release(r.Attempt, r.Shed, now)
+	d.slots.Release(r.Attempt, r.Shed, r.Load, now)
 	if r.Status != 0 && !r.Shed && call.Fingerprint != 0 {
 		d.quarantine.Completed(call.Service, call.Fingerprint, now)
 	}
--- a/port/calls.go
+++ b/port/calls.go
@@ -88,10 +88,11 @@
 // Released reports the end of an admitted attempt.
 type Released struct {
 	Attempt mesh.AttemptID
-	Status  int  // status of the upstream, 0 when none came
-	Shed    bool // the upstream refused under load
-	Lost    bool // the connection to the upstream broke
-	Down    bool // nothing listens at the upstream's address
+	Status  int        // status of the upstream, 0 when none came
+	Shed    bool       // the upstream refused the attempt
+	Load    *mesh.Load // that the upstream reported with its refusal; nil: none
+	Lost    bool       // the connection to the upstream broke
+	Down    bool       // nothing listens at the upstream's address
 }
 
 // ReleaseRing leads from the edges to the slots duty. It waits when full: a
--- a/port/site.go
+++ b/port/site.go
@@ -32,6 +32,8 @@
 	Instance   string // id of the server that answered
 	NotRun     string // a server's statement that it did not run the request
 	Caller     string // service of the machine where the request began
+	// ReadLoad returns the load that a server reports with an answer, nil for none.
+	ReadLoad func(http.Header) *mesh.Load
 }
 
 // InboundRoute is a handler for other nodes. One without a path takes the calls.
