--- a/test/sidecar/sidecar_test.go
+++ b/test/sidecar/sidecar_test.go
@@ -96,9 +96,9 @@
 		m.Machines[1].Restart()
 		h.Until("ready again", func() error {
 			_ = inForce(m.Machines[0], "/read/")() // calls tell the node where others are
-			return m.Machines[1].ready()
+			return m.Machines[1].Ready()
 		})
-		h.Until("every node knows every server", func() error { return m.allReached("/read/") })
+		h.Until("every node knows every server", func() error { return m.AllReached("/read/") })
 	})
 
 	It("list the rows again when the store has forgotten its history", func() {
@@ -131,7 +131,7 @@
 		leaving.Server.state.Store("draining")
 		leaving.Server.paused.Store(true)
 		leaving.Restart()
-		h.Until("ready again", leaving.ready)
+		h.Until("ready again", leaving.Ready)
 		ran := leaving.Server.ran.Load()
 		for range 50 {
 			_, _ = leaving.Call(http.MethodGet, "/read/x", "")
@@ -141,8 +141,8 @@
 
 	It("find a server again after a restart of its node", func() {
 		m.Machines[1].Restart()
-		h.Until("ready again", m.Machines[1].ready)
-		h.Until("every node knows every server", func() error { return m.allReached("/read/") })
+		h.Until("ready again", m.Machines[1].Ready)
+		h.Until("every node knows every server", func() error { return m.AllReached("/read/") })
 	})
 
 	It("finish the calls in progress when told to stop", func() {
@@ -165,7 +165,7 @@
 		for range cap(answers) {
 			Eventually(answers, "20s").Should(Receive(Succeed()))
 		}
-		Expect(stopping.ready()).NotTo(Succeed())
+		Expect(stopping.Ready()).NotTo(Succeed())
 		Eventually(stopping.Ended(), "20s").Should(BeClosed())
 	})
 
@@ -199,7 +199,7 @@
 			}
 			return servers
 		}
-		wanted := HaveKeyWithValue(m.Machines[1].Server.id, BeNumerically(">=", 10))
+		wanted := HaveKeyWithValue(m.Machines[1].Server.ID(), BeNumerically(">=", 10))
 		Eventually(reached, "20s").Should(wanted)
 		m.Machines[1].Terminate()
 		time.Sleep(1200 * time.Millisecond)
@@ -213,10 +213,47 @@
 
 	// A write whose answer is lost is done; repeating it must not loop or undo.
 	It("write their rows once when the store loses its answers", func() {
-		m.Store.LoseAnswers(2)
+		m.Store.LoseAnswers(2, 0)
 		before := m.Store.Writes()
 		m.Machines[2].Restart()
-		h.Until("every node knows every server", func() error { return m.allReached("/read/") })
+		h.Until("every node knows every server", func() error { return m.AllReached("/read/") })
 		Expect(m.Store.Writes() - before).To(BeNumerically("<=", 4))
 	})
+
+	// Such a write may be done after a later one; without its condition it would
+	// bring back what the row said before.
+	It("keep their rows when the store does unanswered writes late", func() {
+		server := m.Machines[2].Server
+		m.Store.LoseAnswers(1, time.Second)
+		server.state.Store("draining")
+		h.Until("the acknowledgement", func() error {
+			if server.acked.Load() == 0 {
+				return errors.New("none yet")
+			}
+			return nil
+		})
+		time.Sleep(1500 * time.Millisecond)
+		h.Until("the leaving server is no longer used", func() error {
+			ran := server.ran.Load()
+			for range 30 {
+				_, _ = m.Machines[0].Call(http.MethodGet, "/read/x", "")
+			}
+			if server.ran.Load() != ran {
+				return errors.New("it still gets calls")
+			}
+			return nil
+		})
+	})
+
+	// The refused node learns from the others, and its server stays in use.
+	It("serve and take over a configuration while the store refuses one of them", func() {
+		refused := m.Machines[0]
+		m.Store.Refuse(refused.name, http.StatusTooManyRequests)
+		m.Configure(7, "/seven/")
+		for _, machine := range m.Machines {
+			h.Until(machine.name+" has version 7", inForce(machine, "/seven/"))
+		}
+		h.Until("every node knows every server", func() error { return m.AllReached("/seven/") })
+		m.Store.Refuse(refused.name, 0)
+	})
 })
--- a/test/sidecar/store.go
+++ b/test/sidecar/store.go
@@ -5,7 +5,6 @@
 
 import (
 	"encoding/json"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"sort"
@@ -27,19 +26,26 @@
 type rowKey struct{ table, key string }
 
 // Store is a stand-in of the platform's metadata store. Faults apply to the
-// machines that they name, by IP address; "" means all.
+// machines that they name; "" means all.
 type Store struct {
-	*httptest.Server
-	mu      sync.Mutex
-	rows    map[rowKey]row
-	history []row
-	version uint64
-	oldest  uint64 // of the history kept
-	changed chan struct{}
-	start   time.Time
+	// Rewrite changes a value that a machine writes; nil: none is changed. It lets
+	// a test put a proxy between machines, which find each other in the store.
+	Rewrite func(key string, value []byte) []byte
+	// OnPut is called for each value that a machine writes; nil: nothing.
+	OnPut func(table, key string, value []byte)
+
+	listeners []*httptest.Server
+	mu        sync.Mutex
+	rows      map[rowKey]row
+	history   []row
+	version   uint64
+	oldest    uint64 // of the history kept
+	changed   chan struct{}
+	start     time.Time
 
 	refused  map[string]int // machine to status
 	lose     int            // writes still to be done and not answered
+	late     time.Duration  // after which a write that is not answered is done; 0: at once
 	writes   int
 	ended    chan struct{}
 	endsOnce sync.Once
@@ -50,19 +56,27 @@
 	s := &Store{
 		rows: map[rowKey]row{}, changed: make(chan struct{}), start: time.Now(), refused: map[string]int{}, ended: make(chan struct{}),
 	}
+	return s
+}
+
+// Serve starts a listener for one machine and returns its address.
+func (s *Store) Serve(machine string) string {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /rows-tx", s.transact)
 	mux.HandleFunc("GET /rows-get", s.get)
-	mux.HandleFunc("GET /rows-feed", s.feed)
-	s.Server = httptest.NewServer(s.faulty(mux))
-	return s
+	mux.HandleFunc("GET /rows-feed", func(w http.ResponseWriter, r *http.Request) { s.feed(w, r, machine) })
+	listener := httptest.NewServer(s.faulty(machine, mux))
+	s.listeners = append(s.listeners, listener)
+	return listener.Listener.Addr().String()
 }
 
 // Stop ends waiting calls and the server.
 func (s *Store) Stop() {
 	s.endsOnce.Do(func() { close(s.ended) })
-	s.CloseClientConnections()
-	s.Close()
+	for _, listener := range s.listeners {
+		listener.CloseClientConnections()
+		listener.Close()
+	}
 }
 
 // Refuse answers a machine's calls with a status; 0 ends that.
@@ -73,11 +87,12 @@
 	s.wake()
 }
 
-// LoseAnswers does the next writes without an answer.
-func (s *Store) LoseAnswers(n int) {
+// LoseAnswers does the next writes without an answer, after a delay if their
+// condition still holds then.
+func (s *Store) LoseAnswers(n int, late time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lose = n
+	s.lose, s.late = n, late
 }
 
 // Forget drops the history.
@@ -128,9 +143,9 @@
 
 func (s *Store) wake() { close(s.changed); s.changed = make(chan struct{}) }
 
-func (s *Store) faulty(next http.Handler) http.Handler {
+func (s *Store) faulty(machine string, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if status := s.refusal(r); status != 0 {
+		if status := s.refusal(machine); status != 0 {
 			w.WriteHeader(status)
 			return
 		}
@@ -138,8 +153,7 @@
 	})
 }
 
-func (s *Store) refusal(r *http.Request) int {
-	machine, _, _ := net.SplitHostPort(r.RemoteAddr)
+func (s *Store) refusal(machine string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if status := s.refused[machine]; status != 0 {
@@ -156,19 +170,46 @@
 	})
 }
 
+// transaction is the body of a write.
+type transaction struct {
+	Precondition []row
+	Puts, Remove []row
+}
+
 func (s *Store) transact(w http.ResponseWriter, r *http.Request) {
-	var body struct {
-		Precondition []row
-		Puts, Remove []row
-	}
+	var body transaction
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var now []row
-	conflict := false
+	lost := s.lose > 0
+	if lost {
+		s.lose--
+	}
+	if lost && s.late > 0 {
+		time.AfterFunc(s.late, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.apply(&body)
+		})
+		panic(http.ErrAbortHandler)
+	}
+	now, conflict := s.apply(&body)
+	switch {
+	case lost:
+		panic(http.ErrAbortHandler)
+	case conflict:
+		s.answer(w, http.StatusPreconditionFailed, now)
+	default:
+		s.answer(w, http.StatusOK, nil)
+	}
+}
+
+// apply does a transaction if its condition holds, else it returns the rows of
+// the condition.
+func (s *Store) apply(body *transaction) (now []row, conflict bool) {
 	for _, c := range body.Precondition {
 		held, exists := s.rows[rowKey{c.Table, c.Key}]
 		conflict = conflict || held.ObjectVersion != c.ObjectVersion
@@ -177,12 +218,17 @@
 		}
 	}
 	if conflict {
-		s.answer(w, http.StatusPreconditionFailed, now)
-		return
+		return now, true
 	}
 	s.version++
 	s.writes++
 	for _, p := range body.Puts {
+		if s.Rewrite != nil {
+			p.Value = s.Rewrite(p.Key, p.Value)
+		}
+		if s.OnPut != nil {
+			s.OnPut(p.Table, p.Key, p.Value)
+		}
 		s.put(p)
 	}
 	for _, d := range body.Remove {
@@ -190,11 +236,7 @@
 		s.put(d)
 	}
 	s.wake()
-	if s.lose > 0 {
-		s.lose--
-		panic(http.ErrAbortHandler)
-	}
-	s.answer(w, http.StatusOK, nil)
+	return nil, false
 }
 
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
@@ -210,7 +252,7 @@
 	s.answer(w, http.StatusOK, rows)
 }
 
-func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
+func (s *Store) feed(w http.ResponseWriter, r *http.Request, machine string) {
 	query := r.URL.Query()
 	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(query.Get("WaitMs"))
@@ -238,7 +280,7 @@
 		s.mu.Unlock()
 		select {
 		case <-changed:
-			if status := s.refusal(r); status != 0 {
+			if status := s.refusal(machine); status != 0 {
 				w.WriteHeader(status)
 				return
 			}
