--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,8 @@
-.PHONY: build demo test lint measure measure-moves measure-convergence measure-routing
+# Options of the soak: SEEDS=n plays seeds 1 to n, SEED=n one, MINUTES=n fresh ones.
+SOAK = $(if $(SEEDS),-soak-seeds $(SEEDS)) $(if $(SEED),-soak-seed $(SEED)) $(if $(MINUTES),-soak-minutes $(MINUTES)) \
+	$(if $(MACHINES),-soak-machines $(MACHINES))
+
+.PHONY: build demo test lint soak measure measure-moves measure-convergence measure-routing
 
 build:
 	go build -o bin/ ./cmd/teasel-node ./cmd/teasel-sidecar ./cmd/teaselctl ./cmd/teasel-demo ./test/platform ./test/upstream
@@ -14,6 +18,10 @@
 lint:
 	bash tools/lint.sh
 
+# Plays nodes as processes under faults drawn from a seed; about 45 s a seed.
+soak:
+	go test -count=1 -timeout 5h ./test/soak -args $(SOAK)
+
 measure:
 	go run ./measure/calls
 	go run ./measure/calls -sizes 6 -big
