--- a/plugins/callrelay/leaving_test.go
+++ b/plugins/callrelay/leaving_test.go
@@ -51,6 +51,41 @@
 	Entry("with a body longer than the buffers", strings.Repeat("x", 200_000)),
 )
 
+// A long body on a slow link takes longer than a call outside its zone may wait;
+// asked for after the body, the slot was never free in time.
+var _ = Describe("an attempt whose body is still arriving", func() {
+	It("asks for its slot at once, and is sent whole", func() {
+		address, requests := server(ok("1", "abc"))
+		n := newNode(address)
+		admitted := make(chan struct{})
+		n.admitted = func() { close(admitted) }
+		edge := httptest.NewServer(n.entry.owner)
+		DeferCleanup(edge.Close)
+		body, pipe := io.Pipe()
+		r, err := http.NewRequest(http.MethodPost, edge.URL+"/once/x", body)
+		Expect(err).NotTo(HaveOccurred())
+		r.ContentLength = 100_000
+		r.Header.Set("Id", "1")
+		call := mesh.Call{Method: http.MethodPost, Path: "/once/x", Class: mesh.ClassOnce, Service: "s", Deadline: time.Now().Add(time.Minute)}
+		(&wire.Attempt{ID: "1/1", Call: call, Target: mesh.Target{Node: "n", Service: "s"}}).Write(r.Header, time.Now())
+		status := make(chan int, 1)
+		go func() {
+			if answer, err := http.DefaultClient.Do(r); err == nil {
+				status <- answer.StatusCode
+				_ = answer.Body.Close()
+			}
+		}()
+		_, _ = pipe.Write(make([]byte, 40_000))
+		Eventually(admitted, "5s").Should(BeClosed())
+		_, _ = pipe.Write(make([]byte, 60_000))
+		_ = pipe.Close()
+		Eventually(status, "5s").Should(Receive(Equal(200)))
+		var got *http.Request
+		Expect(requests).To(Receive(&got))
+		Expect(got.ContentLength).To(BeEquivalentTo(100_000))
+	})
+})
+
 // rejectingServer answers the first request of each connection before it has
 // read the body, and reads on only when told to.
 func rejectingServer(readOn <-chan struct{}) (address string) {
--- a/plugins/callrelay/owner.go
+++ b/plugins/callrelay/owner.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -51,9 +50,10 @@
 		ctx, cancel := context.WithDeadline(r.Context(), a.Call.Deadline)
 		defer cancel()
 		body := &port.Request{Request: r, Length: r.ContentLength, Arrived: now}
-		if err = hold(w, body, a.Call.Deadline); err == nil {
-			answer, err = o.run(ctx, a, body)
+		if r.ContentLength != 0 {
+			body.Rest = readAhead(ctx, r.Body, r.ContentLength, cancel)
 		}
+		answer, err = o.run(ctx, a, body)
 	}
 	h := w.Header()
 	if load := o.Load.Load(); load != nil {
@@ -67,32 +67,6 @@
 	writeAnswer(w, answer)
 }
 
-// hold reads the body, or its beginning, before the attempt waits for a slot:
-// net/http notices that the entry node has left only when the body was read.
-func hold(w http.ResponseWriter, body *port.Request, deadline time.Time) error {
-	if body.Length == 0 {
-		return nil
-	}
-	control := http.NewResponseController(w)
-	if err := control.SetReadDeadline(deadline); err != nil {
-		return result.Internal.Errorf("the body can't be read in time: %v", err)
-	}
-	held, err := io.ReadAll(io.LimitReader(body.Body, heldBytes))
-	if err != nil {
-		return result.CallerGone.Errorf("the body broke off after %d bytes: %v", len(held), err)
-	}
-	body.Held = held
-	if len(held) == heldBytes {
-		body.Rest = body.Body
-	} else {
-		body.Length = int64(len(held))
-	}
-	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		return result.CallerGone.Errorf("%v", err)
-	}
-	return nil
-}
-
 // run admits the attempt and sends it to the server. The slot is released when
 // the answer is complete or closed.
 func (o *owner) run(ctx context.Context, a *wire.Attempt, body *port.Request) (*port.Answer, error) {
