Earn repeats from the platform's ratio

Cause: a node earned 0.1 of its calls as repeats, half of the platform's ratio, and kept them for the whole window.

Change: the ratio and window of the settings decide; 0.8 of the ratio is earned and kept for a fifth of the window, so that no window sees more than 0.96 of it; a node's burst is 1.5.

--- a/decision/retry/budget.go
+++ b/decision/retry/budget.go
@@ -31,6 +31,26 @@
 // DefaultPercent is the share of retries of a caller without a record.
 const DefaultPercent = 10
 
+const (
+	// shareEarned is the part of a platform's ratio of repeats that calls earn, and
+	// keepPart the part of its window for which what they earned is kept. A window
+	// sees what is earned in it and what was kept before: 0.8 * (1 + 0.2) = 0.96 of
+	// the ratio.
+	shareEarned = 0.8
+	keepPart    = 0.2
+	// platformBurst is half of what the platforms known allow each node beyond
+	// the ratio (2.5 to 5.3).
+	platformBurst = 1.5
+)
+
+// ForPlatform returns the constants of budgets and the percentage that calls
+// earn, where a platform bounds the repeats of all nodes together.
+func ForPlatform(p BudgetParams, ratio float64, window time.Duration) (BudgetParams, int) {
+	p.Burst = min(p.Burst, platformBurst)
+	p.Window = time.Duration(keepPart * float64(window))
+	return p, int(100 * shareEarned * ratio)
+}
+
 // Budgets holds one token bucket for each caller. A call earns a part of a
 // token and a retry costs a whole one, so retries stay below the percentage of
 // calls plus the burst. It is not safe for concurrent use.
--- a/decision/retry/retry_test.go
+++ b/decision/retry/retry_test.go
@@ -106,6 +106,44 @@
 	})
 })
 
+// The platform counts the repeats of all nodes in any window of 10 s. With a share
+// of 0.1 that was kept for 10 s half of what it allows stayed unused, and earning
+// all of it broke the rule.
+var _ = Describe("Budgets of a platform", func() {
+	const ratio, slack, nodes, window = 0.2, 58.0, 12, 10 * time.Second
+
+	It("stay within the ratio and its slack in every window and use most of it", func() {
+		params, percent := ForPlatform(DefaultBudgetParams(), ratio, window)
+		budgets := make([]*Budgets, nodes)
+		for i := range budgets {
+			budgets[i] = NewBudgets(params)
+		}
+		const each = 10 * time.Millisecond // between two calls of a node
+		const steps = int(40 * time.Second / each)
+		repeats := make([]int, steps)
+		for step := range steps {
+			now := start.Add(time.Duration(step) * each)
+			for _, b := range budgets {
+				b.Call("s", percent, now)
+				if step >= steps/2 && b.Spend("s", percent, now) { // half of the time nothing fails
+					repeats[step]++
+				}
+			}
+		}
+		span, most := int(window/each), 0
+		for from := 0; from+span <= steps; from++ {
+			sum := 0
+			for _, n := range repeats[from : from+span] {
+				sum += n
+			}
+			most = max(most, sum)
+		}
+		allowed := ratio*float64(span*nodes) + slack
+		Expect(float64(most)).To(BeNumerically("<=", allowed))
+		Expect(float64(most)).To(BeNumerically(">=", 0.75*allowed))
+	})
+})
+
 // A chain of services, each behind its own entry node. The last hop always
 // fails to connect. Without the header rule each hop would multiply the load.
 type chain struct {
--- a/plugins/callrouter/router.go
+++ b/plugins/callrouter/router.go
@@ -30,6 +30,7 @@
 	Snapshot *port.SnapshotCell
 	Splits   *port.SplitsCell `optional:"true"`
 	Samples  *port.SampleRing `optional:"true"`
+	Site     *port.Site       `optional:"true"`
 	Metrics  metrics.Registry
 }
 
@@ -41,17 +42,22 @@
 	router  *routing.Router
 	callers *limit.CallerLimits
 	budgets *retry.Budgets
+	percent int // of the calls to a service that the node may repeat, without records of callers
 	policy  retry.Policy
 
 	picked, refused, retried, denied metrics.Counter
 }
 
 func newDuty(in dutyIn) kernel.Duty {
+	params, percent := in.Settings.budgets(), retry.DefaultPercent
+	if in.Site != nil {
+		params, percent = retry.ForPlatform(params, in.Site.RetryRatio, in.Site.RetryWindow)
+	}
 	d := &duty{
-		in: in, rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), seed: rand.Uint64(),
+		in: in, percent: percent, rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), seed: rand.Uint64(),
 		router:  routing.New(in.Settings.routing()),
 		callers: limit.NewCallerLimits(in.Settings.callers()),
-		budgets: retry.NewBudgets(in.Settings.budgets()),
+		budgets: retry.NewBudgets(params),
 		policy:  in.Settings.policy(),
 		picked:  metrics.NewRegisteredCounter("router.picked", in.Metrics),
 		refused: metrics.NewRegisteredCounter("router.refused", in.Metrics),
@@ -156,7 +162,7 @@
 func (d *duty) caller(call *mesh.Call) caller {
 	if snapshot := d.in.Snapshot.Load(); snapshot != nil {
 		if snapshot.RetryByService {
-			return caller{account: mesh.CallerID(call.Service), percent: retry.DefaultPercent}
+			return caller{account: mesh.CallerID(call.Service), percent: d.percent}
 		}
 		if record, declared := snapshot.Callers[call.Caller]; declared {
 			return caller{record.InFlight, call.Caller, record.RetryPercent}
--- a/port/site.go
+++ b/port/site.go
@@ -23,6 +23,11 @@
 	FirstStart bool
 	Heartbeat  time.Duration // between two heartbeats of a server
 
+	// RetryRatio is the share of repeats that the platform allows over all nodes in
+	// any RetryWindow, for each service.
+	RetryRatio  float64
+	RetryWindow time.Duration
+
 	Drain time.Duration // after the acknowledgement of its leaving a server gets no work
 	Grace time.Duration // between the signal to stop and the kill
 }
