--- a/plugins/callrelay/call.go
+++ b/plugins/callrelay/call.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"teaselring/kernel"
 	"teaselring/mesh"
 	"teaselring/port"
@@ -236,9 +238,19 @@
 	return s.leftOut.Swap(0), true
 }
 
+// count counts the end of a call, refusals by their code.
+func (c *call) count(err error) {
+	name := "calls.answered"
+	if err != nil {
+		name = "calls.refused." + strconv.Itoa(result.Of(err).Number)
+	}
+	metrics.GetOrRegisterCounter(name, c.Metrics).Inc(1)
+}
+
 // log writes the line that ends a call. Plain successes are bounded, what failed
 // or took more than one attempt is not.
 func (c *call) log(answer *port.Answer, err error) {
+	c.count(err)
 	var leftOut int64
 	if err == nil && answer.Status < http.StatusInternalServerError && len(c.tried) == 1 {
 		var ok bool
--- a/plugins/callrelay/relay_test.go
+++ b/plugins/callrelay/relay_test.go
@@ -15,6 +15,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
 
 	"teaselring/decision/replica"
 	"teaselring/kernel"
@@ -66,7 +67,7 @@
 	rows.Store(replica.New())
 	in := relayIn{
 		Identity: mesh.Identity{Node: "n"}, Site: &port.Site{Service: "caller"}, Headers: headers, Snapshot: snapshot, Rows: rows,
-		View: new(port.ViewCell), Load: new(port.LoadCell), Grace: new(kernel.Grace), Logger: kernel.NewLogger(io.Discard),
+		View: new(port.ViewCell), Load: new(port.LoadCell), Grace: new(kernel.Grace), Logger: kernel.NewLogger(io.Discard), Metrics: metrics.NewRegistry(),
 		Hints: kernel.NewRing[port.RowsHint]("hints", 8, kernel.ReplaceOldest),
 		Picks: serving("picks", func(p port.Pick) (mesh.Target, error) {
 			if len(n.servers) == 0 {
--- a/plugins/callrelay/setup.go
+++ b/plugins/callrelay/setup.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 
 	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/fx"
 
 	"teaselring/kernel"
@@ -37,6 +38,7 @@
 	Load     *port.LoadCell
 	Grace    *kernel.Grace
 	Logger   *log.Logger
+	Metrics  metrics.Registry
 }
 
 func init() {
