Keep calls with long bodies in their zone longer

Uploads of 60 KB left their zone before reads of 5 KB that take three times as much of a server's time, because their aim is shorter.

Change: a call with a body of 16 KiB or more stays in its zone while its answer is expected within 0.95 of the time until its aim, others within 0.7 as before.

--- a/decision/routing/choose.go
+++ b/decision/routing/choose.go
@@ -127,7 +127,11 @@
 	latency, failures := e.history(s.expected, now, r.params.HistoryTrust)
 	failures = s.excess(e, failures, now, r.params.HistoryTrust)
 	if !q.Call.Aim.IsZero() {
-		return failures < 0.5 && score <= r.params.StayNear*float64(q.Call.Aim.Sub(now))
+		stay := r.params.StayNear
+		if q.Call.Body >= r.params.LongBody {
+			stay = r.params.StayNearLong
+		}
+		return failures < 0.5 && score <= stay*float64(q.Call.Aim.Sub(now))
 	}
 	return e.load(now, &r.params) < spill*e.capacity() && failures < 0.5 &&
 		(t == sameRegion || latency <= r.params.SlowFactor*s.expected)
--- a/decision/routing/near_test.go
+++ b/decision/routing/near_test.go
@@ -57,6 +57,25 @@
 		Expect(r.pickNode("x", 100*time.Millisecond, now)).To(BeEquivalentTo("far"), "the near answer would be late")
 	})
 
+	// An upload costs as many bytes between zones as a dozen reads, and left its zone
+	// before them, since its aim is shorter.
+	It("stays longer when its body is long", func() {
+		r, now := nearAndFar(), start
+		for range 20 {
+			now = now.Add(50 * time.Millisecond)
+			r.answer("far-home", "x", 400*time.Millisecond, now)
+			r.answer("far", "x", 50*time.Millisecond, now)
+		}
+		pick := func(body int64) mesh.NodeID {
+			call := &mesh.Call{Service: "s", Route: "x", Aim: now.Add(500 * time.Millisecond), Body: body}
+			t, err := r.Pick(&Query{Call: call}, nil, rand.New(rand.NewPCG(1, 1)), now)
+			Expect(err).NotTo(HaveOccurred())
+			return t.Node
+		}
+		Expect(pick(400)).To(BeEquivalentTo("far"))
+		Expect(pick(60_000)).To(BeEquivalentTo("far-home"))
+	})
+
 	// One service runs calls of 40 ms and of 640 ms; a server that got the long ones
 	// counted as slow.
 	It("is judged by the time of its own route", func() {
--- a/decision/routing/router.go
+++ b/decision/routing/router.go
@@ -38,6 +38,10 @@
 	// StayNear is the part of the time until a call's aim within which an answer
 	// from its own zone must be expected for others not to be looked at.
 	StayNear float64
+	// StayNearLong is the same for calls whose body has at least LongBody bytes. One
+	// of them costs as many bytes between zones as a dozen others.
+	StayNearLong float64
+	LongBody     int64
 	// FailureCost multiplies the expected time of an endpoint whose answers all fail.
 	FailureCost float64
 	// PenaltyBase and PenaltyMax bound the time for which an endpoint that does
@@ -65,6 +69,7 @@
 		ZoneSpill: 0.25, RegionSpill: 0.9, SlowFactor: 1.25,
 		ReportWeight: 0.7, ReportSmoothing: 0.5, LoadTrust: 500 * time.Millisecond,
 		HistoryTrust: 3 * time.Second, Smoothing: 0.01, SmoothingSpan: 3 * time.Second, FailureCost: 10, StayNear: 0.7,
+		StayNearLong: 0.95, LongBody: 16 << 10,
 		PenaltyBase: 100 * time.Millisecond, PenaltyMax: 5 * time.Second, TrialLease: 5 * time.Second,
 		AskAgain: 250 * time.Millisecond, SilentCalls: 3, SilentAfter: 500 * time.Millisecond,
 	}
--- a/mesh/call.go
+++ b/mesh/call.go
@@ -26,6 +26,8 @@
 	// counts only where Ranked, else the class decides.
 	Priority int
 	Ranked   bool
+	// Body is the length of the request's body in bytes, as far as it is known.
+	Body int64
 }
 
 // Idempotent reports whether running the call twice does no harm: safe
--- a/plugins/callrelay/entry.go
+++ b/plugins/callrelay/entry.go
@@ -83,7 +83,7 @@
 		Method: r.Method, Path: path, Caller: mesh.CallerID(e.Site.Service), Key: id, Class: route.Class,
 		Service: route.ServiceFor(rand.Float64()), Route: route.ID, Deadline: r.Arrived.Add(timeout),
 		Aim: r.Arrived.Add(target), StartBy: r.Arrived.Add(max(time.Duration(startShare*float64(target)), min(leastWait, timeout/2))),
-		Priority: route.Priority, Ranked: route.Ranked, Fingerprint: fingerprint(r, e.Site.Service),
+		Priority: route.Priority, Ranked: route.Ranked, Body: r.Length, Fingerprint: fingerprint(r, e.Site.Service),
 	}
 	if !c.call.Deadline.After(time.Now()) {
 		return c, result.DeadlineBefore.Err()
