--- a/decision/routing/router.go
+++ b/decision/routing/router.go
@@ -68,7 +68,7 @@
 		RegionCost: time.Millisecond, RemoteCost: 60 * time.Millisecond,
 		ZoneSpill: 0.25, RegionSpill: 0.9, SlowFactor: 1.25,
 		ReportWeight: 0.7, ReportSmoothing: 0.5, LoadTrust: 500 * time.Millisecond,
-		HistoryTrust: 3 * time.Second, Smoothing: 0.01, SmoothingSpan: 3 * time.Second, FailureCost: 10, StayNear: 0.7,
+		HistoryTrust: 3 * time.Second, Smoothing: 0.01, SmoothingSpan: 3 * time.Second, FailureCost: 10, StayNear: 0.8,
 		StayNearLong: 0.95, LongBody: 16 << 10,
 		PenaltyBase: 100 * time.Millisecond, PenaltyMax: 5 * time.Second, TrialLease: 5 * time.Second,
 		AskAgain: 250 * time.Millisecond, SilentCalls: 3, SilentAfter: 500 * time.Millisecond,
