Check which node answers a question for rows

The row of a gone machine stood first in its zone and named an address that another node had by then. Since a node is in touch through the node that it follows, the nodes of the zone followed each other in a circle, told each other that they were in touch and kept an old configuration for seconds.

Change: an answer names its sender; one of another node counts as silence. A node that follows one of another zone does not call itself in touch. The spec fails without it.

--- a/plugins/storereplica/storereplica_test.go
+++ b/plugins/storereplica/storereplica_test.go
@@ -15,6 +15,7 @@
 
 	"teaselring/decision/replica"
 	"teaselring/kernel"
+	"teaselring/mesh"
 	"teaselring/port"
 	"teaselring/result"
 )
@@ -168,7 +169,7 @@
 	BeforeEach(func() {
 		rows, src = new(port.RowsCell), reading()
 		rows.Store(replica.New().List("op", []replica.Row{row("a", 3)}, 3))
-		server = httptest.NewServer(newInboundRoute(rows, new(port.ClockCell), src).Handler)
+		server = httptest.NewServer(newInboundRoute(mesh.Identity{Node: "b"}, rows, new(port.ClockCell), src).Handler)
 		DeferCleanup(server.Close)
 	})
 	ask := func(seen string, wait string) *newerRows {
@@ -205,6 +206,26 @@
 
 	// The nodes of a zone would keep an older configuration while the one that they
 	// follow has lost the store.
+	// The row of a gone machine named an address that another node had by then. The
+	// nodes of a zone followed each other in a circle and kept an old configuration
+	// (hunted day hunt-4d73-15 of cpv-central).
+	It("is not taken for a node that had its address before", func() {
+		src.contact("op")
+		follower := &peerSync{
+			syncIn: syncIn{
+				Identity: mesh.Identity{Node: "c", Zone: "z"}, Rows: new(port.RowsCell), Source: newSource("op"),
+				Out: kernel.NewRing[batch]("out", 4, kernel.ReplaceOldest), Logger: kernel.NewLogger(io.Discard),
+			},
+			client: http.DefaultClient, passed: replica.NewPassed(),
+		}
+		follower.Rows.Store(replica.New())
+		gone := &mesh.Member{Node: "a", Zone: "z", Incarnation: 1, PeerAddress: server.Listener.Addr().String()}
+		follower.follow(context.Background(), gone)
+		Expect(follower.passed.Silent(gone, time.Now())).To(BeTrue())
+		Expect(follower.Source.current(time.Now())).To(BeFalse())
+		Expect(follower.Out.Len()).To(BeZero())
+	})
+
 	// Nodes that had passed over the first of the zone passed over the next one too,
 	// because it followed another, and in the end all asked the store.
 	It("is in touch through the node that it follows", func() {
--- a/plugins/storereplica/sync.go
+++ b/plugins/storereplica/sync.go
@@ -54,6 +54,7 @@
 	Listed  []string      `cbor:"2,keyasint"` // tables that the sender has listed
 	Current bool          `cbor:"3,keyasint"` // the sender is in touch with the store, by itself or through others
 	Clock   time.Duration `cbor:"4,keyasint"` // of the store, 0 when the sender does not know it
+	Node    mesh.NodeID   `cbor:"5,keyasint"` // the sender
 }
 
 type syncIn struct {
@@ -157,11 +158,18 @@
 		s.following, wait = m.Node, 0
 	}
 	newer, err := s.ask(ctx, m.PeerAddress, wait)
+	if err == nil && newer.Node != m.Node {
+		// Addresses of gone machines are used again. Two nodes that each took the
+		// other for a node before them told each other that they were in touch.
+		err = result.WrongIncarnation.Errorf("node %q has the address %s", newer.Node, m.PeerAddress)
+	}
 	if err == nil {
 		s.take(ctx, m.PeerAddress, newer)
 		if newer.Current {
 			s.passed.NoteCurrent(m)
-			s.Source.contact(s.Source.operator)
+			if m.Zone == s.Identity.Zone { // else only this node is helped: no circle over two zones
+				s.Source.contact(s.Source.operator)
+			}
 			return
 		}
 		s.passed.NoteLost(m, time.Now())
@@ -237,6 +245,7 @@
 
 // inbound answers other nodes that ask for rows.
 type inbound struct {
+	node   mesh.NodeID
 	rows   *port.RowsCell
 	clock  *port.ClockCell
 	source *source
@@ -255,8 +264,8 @@
 // encodedFor is how long an answer is used again; it tells the store's clock.
 const encodedFor = 200 * time.Millisecond
 
-func newInboundRoute(rows *port.RowsCell, clock *port.ClockCell, src *source) port.InboundRoute {
-	return port.InboundRoute{Path: rowsPath, Handler: &inbound{rows: rows, clock: clock, source: src}}
+func newInboundRoute(identity mesh.Identity, rows *port.RowsCell, clock *port.ClockCell, src *source) port.InboundRoute {
+	return port.InboundRoute{Path: rowsPath, Handler: &inbound{node: identity.Node, rows: rows, clock: clock, source: src}}
 }
 
 // ServeHTTP answers one question.
@@ -279,7 +288,7 @@
 	if e := i.last.Load(); e != nil && e.set == set && e.seen == text && e.current == current && now.Sub(e.at) < encodedFor {
 		return e.body, nil
 	}
-	answer := &newerRows{Rows: set.Newer(seen), Current: current}
+	answer := &newerRows{Rows: set.Newer(seen), Current: current, Node: i.node}
 	if c := i.clock.Load(); c != nil {
 		answer.Clock = c.Now(now)
 	}
