--- a/kernel/ring.go
+++ b/kernel/ring.go
@@ -60,6 +60,19 @@
 // C returns the receiving side, for the select loop of the owning duty.
 func (r *Ring[T]) C() <-chan T { return r.items }
 
+// Each calls f for each item until the context ends. It is the loop of a duty
+// that receives from one ring only.
+func (r *Ring[T]) Each(ctx context.Context, f func(T)) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case item := <-r.items:
+			f(item)
+		}
+	}
+}
+
 // Len returns the number of waiting items.
 func (r *Ring[T]) Len() int { return len(r.items) }
 
--- a/plugins/configrows/setup.go
+++ b/plugins/configrows/setup.go
@@ -81,14 +81,7 @@
 }
 
 func (d *duty) run(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-d.Wake.ring.C():
-			d.Rows.Load().Each(string(d.Table), d.row)
-		}
-	}
+	return d.Wake.ring.Each(ctx, func(port.RowsChanged) { d.Rows.Load().Each(string(d.Table), d.row) })
 }
 
 // row takes over a row of the operator if it is new.
--- a/plugins/crashspread/setup.go
+++ b/plugins/crashspread/setup.go
@@ -65,17 +65,12 @@
 }
 
 func (d *duty) run(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case push := <-d.Pushes.C():
-			// Reports of other nodes were told to all by their first sender.
-			if q, ok := push.Message.(wire.Quarantine); ok && q.Crash.Node == d.Identity.Node {
-				d.tellAll(ctx, &q.Crash)
-			}
+	return d.Pushes.Each(ctx, func(push port.Push) {
+		// Reports of other nodes were told to all by their first sender.
+		if q, ok := push.Message.(wire.Quarantine); ok && q.Crash.Node == d.Identity.Node {
+			d.tellAll(ctx, &q.Crash)
 		}
-	}
+	})
 }
 
 // tellAll tells the nodes of the view, a few at a time.
--- a/plugins/linkoverlay/dialer.go
+++ b/plugins/linkoverlay/dialer.go
@@ -56,17 +56,12 @@
 }
 
 func (d *dialer) run(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case r := <-d.requests.C():
-			outcome := d.dial(ctx, r)
-			if err := d.events.Send(ctx, event{dialled: &outcome}); err != nil && outcome.conn != nil {
-				closeNow(outcome.conn.conn)
-			}
+	return d.requests.Each(ctx, func(r dialRequest) {
+		outcome := d.dial(ctx, r)
+		if err := d.events.Send(ctx, event{dialled: &outcome}); err != nil && outcome.conn != nil {
+			closeNow(outcome.conn.conn)
 		}
-	}
+	})
 }
 
 func (d *dialer) dial(ctx context.Context, r dialRequest) dialResult {
--- a/plugins/rolloutrows/duties.go
+++ b/plugins/rolloutrows/duties.go
@@ -33,14 +33,7 @@
 }
 
 func (s *sender) run(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case out := <-s.reports.C():
-			s.send(ctx, &out)
-		}
-	}
+	return s.reports.Each(ctx, func(out sending) { s.send(ctx, &out) })
 }
 
 // send tries the judging nodes in order.
@@ -109,14 +102,7 @@
 }
 
 func (w *writer) run(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case state := <-w.Writes.C():
-			w.once(ctx, state)
-		}
-	}
+	return w.Writes.Each(ctx, func(state write) { w.once(ctx, state) })
 }
 
 // once tries to write a state. What failed is decided anew by the rollouts duty,
--- a/plugins/storereplica/replica.go
+++ b/plugins/storereplica/replica.go
@@ -42,14 +42,7 @@
 }
 
 func (o *owner) run(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case b := <-o.Rows.C():
-			o.take(ctx, &b)
-		}
-	}
+	return o.Rows.Each(ctx, func(b batch) { o.take(ctx, &b) })
 }
 
 func (o *owner) take(ctx context.Context, b *batch) {
--- a/plugins/upstreambeats/writer.go
+++ b/plugins/upstreambeats/writer.go
@@ -35,14 +35,7 @@
 }
 
 func (w *writer) run(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case order := <-w.Orders.C():
-			w.finish(ctx, order)
-		}
-	}
+	return w.Orders.Each(ctx, func(order rowOrder) { w.finish(ctx, order) })
 }
 
 // finish writes an order, or a newer one that comes meanwhile, until it is done.
