Take work off the path of each call

The revisions known were formatted and parsed anew for each call between nodes, though they change seldom; a server's load was read from every answer, though only refusals need it; the counter of answered calls was looked up in the registry. The text is kept with its rows, an equal one is not parsed, the load is read where it is used, the counter is held. Behaviour unchanged.

--- a/plugins/callrelay/call.go
+++ b/plugins/callrelay/call.go
@@ -240,11 +240,11 @@
 
 // count counts the end of a call, refusals by their code.
 func (c *call) count(err error) {
-	name := "calls.answered"
-	if err != nil {
-		name = "calls.refused." + strconv.Itoa(result.Of(err).Number)
+	if err == nil {
+		c.answered.Inc(1)
+		return
 	}
-	metrics.GetOrRegisterCounter(name, c.Metrics).Inc(1)
+	metrics.GetOrRegisterCounter("calls.refused."+strconv.Itoa(result.Of(err).Number), c.Metrics).Inc(1)
 }
 
 // log writes the line that ends a call. Plain successes are bounded, what failed
--- a/plugins/callrelay/entry.go
+++ b/plugins/callrelay/entry.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"teaselring/kernel"
 	"teaselring/mesh"
 	"teaselring/port"
@@ -24,6 +26,11 @@
 	owner     *owner
 	pool      *pool
 	successes successLog
+	answered  metrics.Counter // calls
+}
+
+func newEntry(in *relayIn, o *owner) *entry {
+	return &entry{relayIn: in, owner: o, pool: newPool(), answered: metrics.NewRegisteredCounter("calls.answered", in.Metrics)}
 }
 
 // serve answers one request.
@@ -140,7 +147,7 @@
 	request := outgoing(body.Request)
 	a.Write(request.Header, time.Now())
 	request.Header.Set(wire.HeaderEntry, e.Site.Inbound.String())
-	request.Header.Set(port.SeenHeader, port.FormatSeen(e.Rows.Load().Seen()))
+	request.Header.Set(port.SeenHeader, e.seen())
 	x := &exchange{
 		pool: e.pool, address: a.Target.PeerAddress, request: request, body: body,
 		kept: func(*http.Response) time.Duration { return peerIdle },
--- a/plugins/callrelay/owner.go
+++ b/plugins/callrelay/owner.go
@@ -59,7 +59,7 @@
 	if load := o.Load.Load(); load != nil {
 		h.Set(wire.HeaderLoad, wire.FormatLoad(*load))
 	}
-	h.Set(port.SeenHeader, port.FormatSeen(o.Rows.Load().Seen()))
+	h.Set(port.SeenHeader, o.seen())
 	if err != nil {
 		port.Refuse(w, err)
 		return
@@ -116,7 +116,8 @@
 	}
 }
 
-// send runs the attempt on the server. The load is what the server reported.
+// send runs the attempt on the server. The load is what the server reported with
+// an answer that counts for nothing, such as a refusal.
 func (o *owner) send(ctx context.Context, a *wire.Attempt, body *port.Request, to port.Admitted) (*port.Answer, *mesh.Load, error) {
 	request := outgoing(body.Request)
 	h := request.Header
@@ -141,14 +142,13 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	load := o.Headers.ReadLoad(answer.Header)
 	if err := o.judge(answer, id); err != nil {
 		if answer.Rest != nil {
 			_ = answer.Rest.Close()
 		}
-		return nil, load, err
+		return nil, o.Headers.ReadLoad(answer.Header), err
 	}
-	return answer, load, nil
+	return answer, nil, nil
 }
 
 // judge decides what a server's answer is worth: an answer to the request, its
--- a/plugins/callrelay/relay_test.go
+++ b/plugins/callrelay/relay_test.go
@@ -66,7 +66,7 @@
 	rows := new(port.RowsCell)
 	rows.Store(replica.New())
 	in := relayIn{
-		Identity: mesh.Identity{Node: "n"}, Site: &port.Site{Service: "caller"}, Headers: headers, Snapshot: snapshot, Rows: rows,
+		Identity: mesh.Identity{Node: "n"}, Seen: new(port.SeenText), Site: &port.Site{Service: "caller"}, Headers: headers, Snapshot: snapshot, Rows: rows,
 		View: new(port.ViewCell), Load: new(port.LoadCell), Grace: new(kernel.Grace), Logger: kernel.NewLogger(io.Discard), Metrics: metrics.NewRegistry(),
 		Hints: kernel.NewRing[port.RowsHint]("hints", 8, kernel.ReplaceOldest),
 		Picks: serving("picks", func(p port.Pick) (mesh.Target, error) {
@@ -93,7 +93,7 @@
 		}),
 		Release: kernel.NewRing[port.Released]("release", 64, kernel.ReplaceOldest),
 	}
-	n.entry = &entry{relayIn: &in, owner: &owner{relayIn: &in, pool: newPool(), calls: new(atomic.Int64)}, pool: newPool()}
+	n.entry = newEntry(&in, &owner{relayIn: &in, pool: newPool(), calls: new(atomic.Int64)})
 	return n
 }
 
--- a/plugins/callrelay/setup.go
+++ b/plugins/callrelay/setup.go
@@ -28,6 +28,7 @@
 	Headers  port.CallHeaders
 	Snapshot *port.SnapshotCell
 	Rows     *port.RowsCell
+	Seen     *port.SeenText
 	Hints    *port.RowsHintRing
 	View     *port.ViewCell
 	Picks    *port.PickRing
@@ -49,7 +50,7 @@
 			return fx.Options(
 				fx.Provide(
 					func(in relayIn) *owner { return &owner{relayIn: &in, pool: newPool(), calls: new(atomic.Int64)} },
-					func(in relayIn, o *owner) *entry { return &entry{relayIn: &in, owner: o, pool: newPool()} },
+					func(in relayIn, o *owner) *entry { return newEntry(&in, o) },
 					func(e *entry) port.CallPath { return e.serve },
 					func(o *owner) port.CallsInProgress { return o.calls.Load },
 				),
@@ -67,12 +68,18 @@
 	}
 }
 
+// seen returns the newest revisions that this node knows, as calls tell them.
+func (in *relayIn) seen() string { return in.Seen.Of(in.Rows.Load()) }
+
 func (in *relayIn) hintFrom(h http.Header, peer string) {
 	text := h.Get(port.SeenHeader)
 	h.Del(port.SeenHeader)
 	if text == "" {
 		return
 	}
+	if text == in.seen() {
+		return
+	}
 	if seen := port.ParseSeen(text); in.Rows.Load().Seen().Behind(seen) {
 		_ = in.Hints.Send(context.Background(), port.RowsHint{Peer: peer, Seen: seen}) // replaces the oldest, never fails
 	}
--- a/port/rows.go
+++ b/port/rows.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/fx"
@@ -95,6 +96,25 @@
 	return strings.Join(parts, ",")
 }
 
+// SeenText keeps what FormatSeen returned for the last rows: every call between
+// nodes carries it, and it changes seldom.
+type SeenText struct{ last atomic.Pointer[seenOf] }
+
+type seenOf struct {
+	rows *replica.Set
+	text string
+}
+
+// Of returns the revisions of the rows in the form of FormatSeen.
+func (s *SeenText) Of(rows *replica.Set) string {
+	if last := s.last.Load(); last != nil && last.rows == rows {
+		return last.text
+	}
+	text := FormatSeen(rows.Seen())
+	s.last.Store(&seenOf{rows, text})
+	return text
+}
+
 // ParseSeen decodes what FormatSeen wrote. Parts that can't be read are left
 // out: they only delay what the next call tells again.
 func ParseSeen(text string) replica.Seen {
