Build refusals, reports and peers' messages in one place

call.relay wrote again what call.forward had: the wait for a place in the rings of outcomes and releases, what may be said of a call after an attempt that may have run, the body of a refusal, and a random number of its own for moves, which the router derives. /evidence and /crash decoded their bodies alike. The pieces are port.Report, port.Release, retry.Truth, port.WriteRefusal, routing.CallDraw and port.ReadPeer.

--- a/plugins/callforward/entry.go
+++ b/plugins/callforward/entry.go
@@ -80,15 +80,7 @@
 	return mesh.AttemptID(hex.EncodeToString(b[:]))
 }
 
-// report hands an outcome to the router and waits for a place: a lost outcome
-// would leave its attempt counted as in flight.
-func (e *entry) report(f port.Finished) {
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-	defer cancel()
-	if err := e.Outcomes.Send(ctx, f); err != nil {
-		e.Logger.Error().Str("call", string(f.Outcome.Route)).Err(err).Msg("outcome not recorded")
-	}
-}
+func (e *entry) report(f port.Finished) { port.Report(e.Outcomes, f, e.Logger) }
 
 func (e *entry) pick(ctx context.Context, p port.Pick) (mesh.Target, error) {
 	target, err := kernel.Do(ctx, e.Picks, p)
--- a/plugins/callforward/exchange.go
+++ b/plugins/callforward/exchange.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"teaselring/decision/retry"
 	"teaselring/kernel"
 	"teaselring/mesh"
 	"teaselring/port"
@@ -24,9 +25,7 @@
 	body     *callBody
 	call     mesh.Call
 	tried    []mesh.NodeID
-	// mayHaveRun is the error of an earlier attempt that may have run. A later
-	// refusal must not be answered "not run" then.
-	mayHaveRun error
+	truth    retry.Truth
 }
 
 // serve runs attempts until one is answered or the router allows no other.
@@ -37,7 +36,7 @@
 			c.deliver(w, answer, outcome)
 			return
 		}
-		err = c.truthful(err)
+		err = c.truth.Of(err)
 		verdict := c.judge(ctx, outcome)
 		if verdict.Retry && kernel.Sleep(ctx, verdict.Wait) == nil {
 			continue
@@ -81,17 +80,6 @@
 	port.Refuse(w, err)
 }
 
-// truthful returns what may be said of the call as a whole, given the error of
-// its last attempt.
-func (c *exchange) truthful(err error) error {
-	if result.Of(err).Ran != result.NotRun {
-		c.mayHaveRun = err
-	} else if c.mayHaveRun != nil {
-		return c.mayHaveRun
-	}
-	return err
-}
-
 // deliver copies the answer to the caller. The report is deferred because
 // copyAnswer aborts the connection by a panic.
 func (c *exchange) deliver(w http.ResponseWriter, answer *http.Response, outcome mesh.Outcome) {
--- a/plugins/callforward/owner.go
+++ b/plugins/callforward/owner.go
@@ -181,16 +181,7 @@
 	return result.UpstreamLost.Errorf("upstream: %v", err)
 }
 
-func (o *owner) release(released port.Released) {
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-	defer cancel()
-	if err := o.in.Release.Send(ctx, released); err != nil {
-		o.in.Logger.Error().Str("call", string(released.Attempt)).Err(err).Msg("slot not released")
-	}
-}
-
-// releaseTimeout is far above the time that the slots duty needs for a full ring.
-const releaseTimeout = 10 * time.Second
+func (o *owner) release(released port.Released) { port.Release(o.in.Release, released, o.in.Logger) }
 
 // releasingBody releases the slot once, when the answer was read or given up.
 type releasingBody struct {
--- a/plugins/callrelay/call.go
+++ b/plugins/callrelay/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -12,6 +11,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"teaselring/decision/retry"
 	"teaselring/kernel"
 	"teaselring/mesh"
 	"teaselring/port"
@@ -39,10 +39,8 @@
 
 	tried []mesh.NodeID
 	sends int // attempts that may have reached a server
-	// mayHaveRun is the error of an earlier attempt that may have run. A later
-	// refusal must not be answered "not run" then.
-	mayHaveRun error
-	last       mesh.Outcome
+	truth retry.Truth
+	last  mesh.Outcome
 }
 
 // serve runs attempts until one is answered or no other may follow.
@@ -54,7 +52,7 @@
 			c.report(port.Finished{Outcome: outcome, CallEnded: true})
 			return answer, nil
 		}
-		err = c.truthful(err)
+		err = c.truth.Of(err)
 		if outcome.Target.Node == "" { // no attempt was made
 			c.end(outcome)
 			return nil, err
@@ -111,7 +109,7 @@
 func (c *call) attempt(ctx context.Context, retried bool) (*port.Answer, mesh.Outcome, error) {
 	outcome := mesh.Outcome{Route: c.call.Route, Caller: c.call.Caller, Class: c.call.Class}
 	target, err := c.pick(ctx, port.Pick{
-		Call: c.call, Tried: c.tried, First: len(c.tried) == 0, Retried: retried, Draw: c.call.Fingerprint ^ uint64(c.began.UnixNano()),
+		Call: c.call, Tried: c.tried, First: len(c.tried) == 0, Retried: retried,
 	})
 	if err != nil {
 		return nil, outcome, err
@@ -152,27 +150,12 @@
 	return answer.Status
 }
 
-// truthful returns what may be said of the call as a whole, given the error of
-// its last attempt.
-func (c *call) truthful(err error) error {
-	if result.Of(err).Ran != result.NotRun {
-		c.mayHaveRun = err
-	} else if c.mayHaveRun != nil {
-		return c.mayHaveRun
-	}
-	return err
-}
-
 // refusal is the answer to a request that has none of a server.
 func (e *entry) refusal(c *call, err error) *port.Answer {
 	x := result.From(err)
-	a := &port.Answer{Status: refusalStatus(x.Code), Header: http.Header{"Content-Type": {"application/json"}}}
-	a.Held, _ = json.Marshal(port.Refusal{
-		Code: x.Code.Number, Name: x.Code.Name, Ran: x.Code.Ran.String(), Retry: x.Code.Retry.String(),
-		Message: x.Message, Details: x.Details,
-	})
+	a := &port.Answer{Status: refusalStatus(x.Code), Header: http.Header{}}
+	a.Held = port.WriteRefusal(a.Header, x)
 	a.Length = int64(len(a.Held))
-	a.Header.Set(port.CodeHeader, strconv.Itoa(x.Code.Number))
 	if c.id != "" {
 		a.Header.Set(e.Headers.RequestID, c.id)
 	}
--- a/plugins/callrelay/entry.go
+++ b/plugins/callrelay/entry.go
@@ -123,15 +123,7 @@
 	return h.Sum64()
 }
 
-// report hands an outcome to the router and waits for a place: a lost outcome
-// would leave its attempt counted as in flight.
-func (e *entry) report(f port.Finished) {
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-	defer cancel()
-	if err := e.Outcomes.Send(ctx, f); err != nil {
-		e.Logger.Error().Str("route", string(f.Outcome.Route)).Err(err).Msg("outcome not recorded")
-	}
-}
+func (e *entry) report(f port.Finished) { port.Report(e.Outcomes, f, e.Logger) }
 
 // pick asks the router for a target.
 func (e *entry) pick(ctx context.Context, p port.Pick) (mesh.Target, error) {
--- a/plugins/callrelay/owner.go
+++ b/plugins/callrelay/owner.go
@@ -20,8 +20,6 @@
 	// answerMargin is left of an attempt's time for the answer's way back, so that
 	// a server's own answer at its deadline arrives before the caller's.
 	answerMargin = 15 * time.Millisecond
-	// releaseTimeout is far above the time that the slots duty needs for a full ring.
-	releaseTimeout = 10 * time.Second
 	// acceptWhileStopping is the time after the signal to stop in which calls of
 	// other nodes are still taken. Clients of the machine are sent elsewhere after
 	// 2 s; calls that begin by then end within the rest of the grace.
@@ -108,13 +106,7 @@
 	return 0 // refused by the slots duty
 }
 
-func (o *owner) release(released port.Released) {
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-	defer cancel()
-	if err := o.Release.Send(ctx, released); err != nil {
-		o.Logger.Error().Str("request", string(released.Attempt)).Err(err).Msg("slot not released")
-	}
-}
+func (o *owner) release(released port.Released) { port.Release(o.Release, released, o.Logger) }
 
 // send runs the attempt on the server. The load is what the server reported with
 // an answer that counts for nothing, such as a refusal.
--- a/plugins/callrouter/router.go
+++ b/plugins/callrouter/router.go
@@ -179,11 +179,8 @@
 			return mesh.Target{}, result.NoConfiguration.Errorf("the moves in progress are not known yet")
 		}
 	}
-	draw := q.Draw
-	if draw == 0 {
-		draw = routing.CallDraw(d.seed, &q.Call)
-	}
-	return d.router.Pick(&routing.Query{Call: &q.Call, Tried: q.Tried, Draw: draw}, splits, d.rnd, now)
+	query := &routing.Query{Call: &q.Call, Tried: q.Tried, Draw: routing.CallDraw(d.seed, &q.Call)}
+	return d.router.Pick(query, splits, d.rnd, now)
 }
 
 func (d *duty) finish(ctx context.Context, f *port.Finished, now time.Time) {
--- a/plugins/crashspread/setup.go
+++ b/plugins/crashspread/setup.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -17,7 +16,6 @@
 	"teaselring/kernel"
 	"teaselring/mesh"
 	"teaselring/port"
-	"teaselring/result"
 	"teaselring/wire"
 )
 
@@ -100,13 +98,8 @@
 // newInbound takes the reports of other nodes.
 func newInbound(inbox *port.CrashInbox) port.InboundRoute {
 	return port.InboundRoute{Path: crashPath, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, err := io.ReadAll(io.LimitReader(r.Body, maxReport))
-		var c mesh.Crash
-		if err == nil {
-			err = cbor.Unmarshal(body, &c)
-		}
-		if err != nil {
-			port.Refuse(w, result.BadMessage.Errorf("crash report: %v", err))
+		c, ok := port.ReadPeer[mesh.Crash](w, r, maxReport)
+		if !ok {
 			return
 		}
 		if err := inbox.Send(r.Context(), c); err != nil {
--- a/plugins/rolloutrows/duties.go
+++ b/plugins/rolloutrows/duties.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -64,15 +63,11 @@
 // newInbound takes the reports of other nodes.
 func newInbound(in *inbox) port.InboundRoute {
 	return port.InboundRoute{Path: evidencePath, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, err := io.ReadAll(io.LimitReader(r.Body, maxReport))
-		var received report
-		if err == nil {
-			err = cbor.Unmarshal(body, &received)
-		}
-		if err != nil {
-			port.Refuse(w, result.BadMessage.Errorf("evidence: %v", err))
+		received, ok := port.ReadPeer[report](w, r, maxReport)
+		if !ok {
 			return
 		}
+		var body []byte
 		v, err := kernel.Do(r.Context(), in, received)
 		if err == nil {
 			body, err = cbor.Marshal(v)
--- a/port/calls.go
+++ b/port/calls.go
@@ -1,10 +1,13 @@
 package port
 
 import (
+	"context"
 	"net/http"
 	"net/netip"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"teaselring/kernel"
 	"teaselring/mesh"
 	"teaselring/result"
@@ -18,10 +21,6 @@
 	Tried   []mesh.NodeID // nodes that earlier attempts of the call used
 	Retried bool          // a retry of the call, to be charged to the caller's budget
 	First   bool          // the first attempt, counted against the caller's limit
-	// Draw is the random number of the call, equal for all of its attempts, so
-	// that a retry keeps its upstream version during a move. 0: derived from
-	// the deadline, fingerprint and caller.
-	Draw uint64
 }
 
 // PickRing leads from the callers' edge to the router.
@@ -99,6 +98,29 @@
 // lost release would leave its slot taken.
 type ReleaseRing = kernel.Ring[Released]
 
+// releaseTimeout is far above the time that the duties need for a full ring.
+const releaseTimeout = 10 * time.Second
+
+// Report hands an outcome to the router and waits for a place: a lost outcome
+// would leave its attempt counted as in flight.
+func Report(ring *OutcomeRing, f Finished, logger *log.Logger) {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	if err := ring.Send(ctx, f); err != nil {
+		logger.Error().Str("route", string(f.Outcome.Route)).Err(err).Msg("outcome not recorded")
+	}
+}
+
+// Release reports the end of an admitted attempt and waits for a place: a lost
+// release would leave its slot taken.
+func Release(ring *ReleaseRing, r Released, logger *log.Logger) {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	if err := ring.Send(ctx, r); err != nil {
+		logger.Error().Str("attempt", string(r.Attempt)).Err(err).Msg("slot not released")
+	}
+}
+
 // Settle asks whether an attempt began, and fences it if it did not.
 type Settle struct {
 	Attempt     mesh.AttemptID
--- a/port/refuse.go
+++ b/port/refuse.go
@@ -21,15 +21,21 @@
 	Details map[string]string `json:"details,omitempty"`
 }
 
-// Refuse answers a request with the result code that err carries.
-func Refuse(w http.ResponseWriter, err error) {
-	e := result.From(err)
+// WriteRefusal sets the headers of a refusal and returns its body.
+func WriteRefusal(h http.Header, e *result.Error) []byte {
 	body, _ := json.Marshal(Refusal{
 		Code: e.Code.Number, Name: e.Code.Name, Ran: e.Code.Ran.String(),
 		Retry: e.Code.Retry.String(), Message: e.Message, Details: e.Details,
 	})
-	w.Header().Set(CodeHeader, strconv.Itoa(e.Code.Number))
-	w.Header().Set("Content-Type", "application/json")
+	h.Set(CodeHeader, strconv.Itoa(e.Code.Number))
+	h.Set("Content-Type", "application/json")
+	return body
+}
+
+// Refuse answers a request with the result code that err carries.
+func Refuse(w http.ResponseWriter, err error) {
+	e := result.From(err)
+	body := WriteRefusal(w.Header(), e)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(e.Code.Status)
 	_, _ = w.Write(body)
--- a/port/rows_test.go
+++ b/port/rows_test.go
@@ -1,4 +1,4 @@
-package port
+package port_test
 
 import (
 	"testing"
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"teaselring/decision/replica"
+	"teaselring/port"
 )
 
 func TestPort(t *testing.T) {
@@ -17,13 +18,13 @@
 // A text that stays behind would tell other nodes that this one knows less.
 var _ = Describe("the text of the revisions known", func() {
 	It("follows the rows", func() {
-		s := new(SeenText)
+		s := new(port.SeenText)
 		first := replica.New().List("op", nil, 3)
 		first, _ = first.Merge([]replica.Row{{Table: "op", Key: "a", Revision: 4}})
 		Expect(s.Of(first)).To(Equal("op=4"))
 		Expect(s.Of(first)).To(Equal("op=4"))
 		next, _ := first.Merge([]replica.Row{{Table: "op", Key: "a", Revision: 6}, {Table: "n", Key: "b", Revision: 5}})
 		Expect(s.Of(next)).To(Equal("n=5,op=6"))
-		Expect(ParseSeen(s.Of(next))).To(Equal(next.Seen()))
+		Expect(port.ParseSeen(s.Of(next))).To(Equal(next.Seen()))
 	})
 })
