--- a/decision/replica/readers.go
+++ b/decision/replica/readers.go
@@ -24,9 +24,6 @@
 // the zone have lost the store, those of other zones are asked: it may refuse
 // single machines.
 func Source(view *mesh.View, self mesh.Identity, passed *Passed, now time.Time) Choice {
-	if view == nil {
-		return Choice{Reads: true}
-	}
 	lost := 0
 	for _, m := range view.Ranked("", func(m *mesh.Member) bool { return m.Zone == self.Zone }) {
 		switch {
--- a/decision/routing/choose.go
+++ b/decision/routing/choose.go
@@ -124,8 +124,7 @@
 	if t == sameRegion {
 		spill = r.params.RegionSpill
 	}
-	latency, failures := e.history(s.expected, now, r.params.HistoryTrust)
-	failures = s.excess(e, failures, now, r.params.HistoryTrust)
+	latency, failures := s.history(e, s.expected, now, r.params.HistoryTrust)
 	if !q.Call.Aim.IsZero() {
 		stay := r.params.StayNear
 		if q.Call.Body >= r.params.LongBody {
@@ -169,8 +168,8 @@
 	if expected == 0 {
 		expected = float64(time.Millisecond)
 	}
-	call, failures := e.history(expected, now, r.params.HistoryTrust)
-	call *= 1 + r.params.FailureCost*s.excess(e, failures, now, r.params.HistoryTrust)
+	call, failures := s.history(e, expected, now, r.params.HistoryTrust)
+	call *= 1 + r.params.FailureCost*failures
 	load := e.load(now, &r.params)
 	return float64(way) + call*(s.scale(q.Call.Route)+pressure(load, e.capacity()))
 }
--- a/decision/routing/endpoint.go
+++ b/decision/routing/endpoint.go
@@ -126,7 +126,11 @@
 // failureOf returns 1 for an outcome that tells against the upstream, else 0. A
 // refusal with slots free does; it spares no work of others.
 func failureOf(o *mesh.Outcome) float64 {
-	if (o.Failed && !shed(o)) || (shed(o) && !busy(o)) {
+	failed := o.Failed
+	if shed(o) {
+		failed = !busy(o)
+	}
+	if failed {
 		return 1
 	}
 	return 0
--- a/decision/routing/failures.go
+++ b/decision/routing/failures.go
@@ -18,13 +18,18 @@
 	noFailures = 0.02
 )
 
-// excess returns the part of an endpoint's share of failures that is above that
-// of the other endpoints. When all of them fail alike, no choice among them
-// helps, and calls would leave their zone in vain.
-func (s *service) excess(e *endpoint, failures float64, now time.Time, trust time.Duration) float64 {
-	if failures < noFailures {
-		return failures
+// history returns that of an endpoint, with the part of its share of failures
+// that is above that of the other endpoints. When all of them fail alike, no
+// choice among them helps, and calls would leave their zone in vain.
+func (s *service) history(e *endpoint, expected float64, now time.Time, trust time.Duration) (latency, failures float64) {
+	latency, failures = e.history(expected, now, trust)
+	if failures >= noFailures {
+		failures = s.excess(e, failures, now, trust)
 	}
+	return latency, failures
+}
+
+func (s *service) excess(e *endpoint, failures float64, now time.Time, trust time.Duration) float64 {
 	if now.Sub(s.failures.at) >= baselineAge {
 		s.failures = s.measure(now, trust)
 	}
--- a/kernel/metrics_text.go
+++ b/kernel/metrics_text.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 
@@ -35,13 +36,8 @@
 			writeHistogram(families, name, labels, m.Snapshot())
 		}
 	})
-	names := make([]string, 0, len(families))
-	for name := range families {
-		names = append(names, name)
-	}
-	slices.Sort(names)
 	w := bufio.NewWriter(out)
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(families)) {
 		f := families[name]
 		slices.Sort(f.lines)
 		_, _ = fmt.Fprintf(w, "# TYPE %s %s\n%s", name, f.kind, strings.Join(f.lines, "")) // Flush returns the error
--- a/plugins/callrelay/entry.go
+++ b/plugins/callrelay/entry.go
@@ -40,8 +40,6 @@
 		return e.refusal(c, err)
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.call.Deadline)
-	e.owner.calls.Add(1)
-	defer e.owner.calls.Add(-1)
 	answer, err := c.serve(ctx)
 	c.log(answer, err)
 	if err != nil {
--- a/plugins/callrelay/owner.go
+++ b/plugins/callrelay/owner.go
@@ -30,7 +30,7 @@
 type owner struct {
 	*relayIn
 	pool  *pool
-	calls *atomic.Int64 // in progress at this node
+	calls *atomic.Int64 // of other nodes in progress
 }
 
 // ServeHTTP runs an attempt that another node sent.
--- a/plugins/edgeoutbound/setup.go
+++ b/plugins/edgeoutbound/setup.go
@@ -61,9 +61,8 @@
 type edge struct {
 	edgeIn
 	socket net.Listener
-	// inHand counts the requests of which a byte was read and whose answer is not
-	// written yet. The call path counts a call only once its body was read, and no
-	// longer when its answer is ready.
+	// inHand counts the requests of this machine of which a byte was read and whose
+	// answer is not written yet.
 	inHand atomic.Int64
 	// closed is set when no request is begun any more.
 	closed atomic.Bool
@@ -143,7 +142,7 @@
 		// after closing leaves none behind.
 		if stopped >= end || (e.closed.Load() && !e.busy()) {
 			_ = e.socket.Close()
-			e.Logger.Info().Dur("after", stopped).Int64("calls", e.Calls()).Msg("stopped serving")
+			e.Logger.Info().Dur("after", stopped).Int64("calls", e.Calls()+e.inHand.Load()).Msg("stopped serving")
 			return
 		}
 	}
--- a/plugins/storereplica/source.go
+++ b/plugins/storereplica/source.go
@@ -65,15 +65,15 @@
 }
 
 // contact notes that the store has answered, or a node that is in touch with it.
-func (s *source) contact(table string) {
-	if table == s.operator && s.last.Swap(time.Now().UnixNano()) == 0 {
+func (s *source) contact() {
+	if s.last.Swap(time.Now().UnixNano()) == 0 {
 		s.changed.fire()
 	}
 }
 
 // lost notes that neither answers, and tells the nodes that wait.
-func (s *source) lost(table string) {
-	if table == s.operator && s.last.Swap(0) != 0 {
+func (s *source) lost() {
+	if s.last.Swap(0) != 0 {
 		s.changed.fire()
 	}
 }
--- a/plugins/storereplica/storereplica_test.go
+++ b/plugins/storereplica/storereplica_test.go
@@ -186,7 +186,7 @@
 	}
 
 	It("tells rows that are newer at once", func() {
-		src.contact("op")
+		src.contact()
 		newer := ask("op=2", "1000")
 		Expect(newer.Rows).To(ConsistOf(row("a", 3)))
 		Expect(newer.Listed).To(ConsistOf("op"))
@@ -194,7 +194,7 @@
 	})
 
 	It("wakes those that wait when rows change", func() {
-		src.contact("op")
+		src.contact()
 		go func() {
 			time.Sleep(50 * time.Millisecond)
 			next, _ := rows.Load().Merge([]replica.Row{row("b", 4)})
@@ -210,7 +210,7 @@
 	// nodes of a zone followed each other in a circle and kept an old configuration
 	// (hunted day hunt-4d73-15 of cpv-central).
 	It("is not taken for a node that had its address before", func() {
-		src.contact("op")
+		src.contact()
 		follower := &peerSync{
 			syncIn: syncIn{
 				Identity: mesh.Identity{Node: "c", Zone: "z"}, Rows: new(port.RowsCell), Source: newSource("op"),
@@ -231,13 +231,13 @@
 	It("is in touch through the node that it follows", func() {
 		src.setReading(false)
 		Expect(ask("op=3", "1000").Current).To(BeFalse())
-		src.contact("op")
+		src.contact()
 		Expect(ask("op=2", "1000").Current).To(BeTrue())
 	})
 
 	It("says that it has lost the store", func() {
-		src.contact("op")
-		go func() { time.Sleep(50 * time.Millisecond); src.lost("op") }()
+		src.contact()
+		go func() { time.Sleep(50 * time.Millisecond); src.lost() }()
 		Expect(ask("op=3", "1000").Current).To(BeFalse())
 	})
 })
--- a/plugins/storereplica/sync.go
+++ b/plugins/storereplica/sync.go
@@ -168,7 +168,7 @@
 		if newer.Current {
 			s.passed.NoteCurrent(m)
 			if m.Zone == s.Identity.Zone { // else only this node is helped: no circle over two zones
-				s.Source.contact(s.Source.operator)
+				s.Source.contact()
 			}
 			return
 		}
@@ -178,7 +178,7 @@
 		s.passed.NoteSilent(m, time.Now())
 	}
 	if ctx.Err() == nil {
-		s.Source.lost(s.Source.operator)
+		s.Source.lost()
 		s.Logger.Warn().Str("node", string(m.Node)).Err(err).Msg("node no longer followed")
 	}
 }
--- a/plugins/storereplica/watch.go
+++ b/plugins/storereplica/watch.go
@@ -42,14 +42,17 @@
 		return nil
 	}
 	for ctx.Err() == nil {
-		if must := w.leads && !w.listed; !must && !w.source.awaitReading(ctx) {
+		first := w.leads && !w.listed
+		if !first && !w.source.awaitReading(ctx) {
 			return nil
 		}
 		if err := w.step(ctx); err != nil {
 			w.failed(ctx, err)
 			continue
 		}
-		w.source.contact(w.table)
+		if w.tellsContact() {
+			w.source.contact()
+		}
 		if w.failures > 0 {
 			w.logger.Info().Str("table", w.table).Int("failures", w.failures).Msg("store regained")
 			w.failures = 0
@@ -58,6 +61,9 @@
 	return nil
 }
 
+// tellsContact reports whether this table decides if the node is in touch.
+func (w *watch) tellsContact() bool { return w.table == w.source.operator }
+
 func (w *watch) step(ctx context.Context) error {
 	set := w.rows.Load()
 	if !w.listed && set.Listed(w.table) {
@@ -107,7 +113,9 @@
 		w.relist(ctx)
 		return
 	}
-	w.source.lost(w.table)
+	if w.tellsContact() {
+		w.source.lost()
+	}
 	if w.failures == 0 {
 		w.logger.Warn().Str("table", w.table).Err(err).Msg("store lost")
 	}
--- a/port/exchange.go
+++ b/port/exchange.go
@@ -36,7 +36,7 @@
 // the caller leaves. It always returns an answer.
 type CallPath func(ctx context.Context, r *Request) *Answer
 
-// CallsInProgress returns the calls that the node has in progress.
+// CallsInProgress returns the calls of other nodes that the node has in progress.
 type CallsInProgress func() int64
 
 // ProvideInboundRoute adds the InboundRoute that constructor returns.
--- a/test/soak/fleet.go
+++ b/test/soak/fleet.go
@@ -128,10 +128,7 @@
 	now := time.Now()
 	if n := len(f.move.answers); n >= enoughBad {
 		last := f.move.answers[enoughBad-1]
-		f.ledger.mu.Lock()
-		calm := !f.ledger.anyBroken(last, now)
-		f.ledger.mu.Unlock()
-		if calm && now.Sub(last) > rollbackBound {
+		if now.Sub(last) > rollbackBound && f.ledger.calm(last, now) {
 			f.ledger.violation("EXPOSURE", "the bad version got a request %v after its bad answer number %d", now.Sub(last), enoughBad)
 		}
 	}
--- a/test/soak/ledger.go
+++ b/test/soak/ledger.go
@@ -118,6 +118,13 @@
 	return false
 }
 
+// calm is the opposite of anyBroken, for those that do not hold mu.
+func (l *ledger) calm(from, to time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.anyBroken(from, to)
+}
+
 // ran notes and judges a run of a request; it is called by the servers.
 func (l *ledger) ran(machine string, acked time.Time, s *sidecar.Server, r *http.Request) {
 	id, now := r.Header.Get("Attempt-Id"), time.Now()
