--- a/decision/rollout/evidence.go
+++ b/decision/rollout/evidence.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 
 	"teaselring/mesh"
@@ -15,25 +14,6 @@
 	windowSpan = 3 * time.Second
 	slotSpan   = 500 * time.Millisecond
 
-	// A version fails when at least leastFailures of its calls on a route failed
-	// and so many would fail by chance with a probability below chance, if it were
-	// as good as the old one. Its share of failures counts spread times, and as
-	// usualFailures at least, since both versions meet different servers and times.
-	leastFailures = 3
-	chance        = 0.002
-	spread        = 1.5
-	usualFailures = 0.03
-
-	// leastOld is the number of calls of the old version on a route without which
-	// nothing is compared there: some routes fail whatever the version.
-	leastOld = 5
-
-	// A version is slow when the mean time of at least leastSlow calls on a route is
-	// slowFactor times that of the old version. Servers differ in speed by up to 3
-	// to 1.
-	leastSlow  = 8
-	slowFactor = 3.5
-
 	// coldSpan is the time after a server was first seen in which its answers may
 	// be slow because it has just started.
 	coldSpan = 4 * time.Second
@@ -163,32 +143,6 @@
 	return routes[id]
 }
 
-// Bad returns why the new version is bad, or "" while nothing shows that it is.
-func (e *Evidence) Bad(now time.Time) string {
-	all := &Counts{}
-	sums := e.window(now)
-	for id, c := range sums {
-		if old := e.old[id]; c.Old.Calls < leastOld && old != nil {
-			c.Old = *old
-		}
-		if c.Old.Calls < leastOld {
-			delete(sums, id)
-			continue
-		}
-		all.Old.add(&c.Old)
-		all.New.add(&c.New)
-	}
-	if why := all.bad(); why != "" {
-		return "on all routes, " + why
-	}
-	for id, c := range sums {
-		if why := c.bad(); why != "" {
-			return fmt.Sprintf("on route %q, %s", id, why)
-		}
-	}
-	return ""
-}
-
 // window returns the counts of each route over the last windowSpan.
 func (e *Evidence) window(now time.Time) map[mesh.RouteID]*Counts {
 	sums := map[mesh.RouteID]*Counts{}
@@ -207,34 +161,6 @@
 	return sums
 }
 
-func (c *Counts) bad() string {
-	usual := min(max(spread*c.Old.failed(), usualFailures), 1)
-	if c.New.Failures >= leastFailures && tail(c.New.Calls, c.New.Failures, usual) < chance {
-		return fmt.Sprintf("%d of %d calls failed, of the old version %d of %d", c.New.Failures, c.New.Calls, c.Old.Failures, c.Old.Calls)
-	}
-	if c.New.Warm >= leastSlow && c.Old.Warm >= leastSlow && float64(c.New.mean()) > slowFactor*float64(c.Old.mean()) {
-		return fmt.Sprintf("%d calls took %v on average, those of the old version %v", c.New.Warm, c.New.mean(), c.Old.mean())
-	}
-	return ""
-}
-
-// tail returns the probability that at least k of n calls fail when each fails
-// with probability p.
-func tail(n, k uint32, p float64) float64 {
-	sum := 0.0
-	for i := uint32(0); i < k; i++ {
-		sum += math.Exp(logChoose(n, i) + float64(i)*math.Log(p) + float64(n-i)*math.Log1p(-p))
-	}
-	return max(1-sum, 0)
-}
-
-func logChoose(n, k uint32) float64 {
-	all, _ := math.Lgamma(float64(n) + 1)
-	taken, _ := math.Lgamma(float64(k) + 1)
-	left, _ := math.Lgamma(float64(n-k) + 1)
-	return all - taken - left
-}
-
 // Take returns what was counted and forgets it, so that a report holds what is
 // new since the last one.
 func (e *Evidence) Take() []Counts {
--- a/decision/rollout/rollout_test.go
+++ b/decision/rollout/rollout_test.go
@@ -149,6 +149,41 @@
 		Expect(e.Bad(start)).NotTo(BeEmpty())
 	})
 
+	// Eight calls, seven of them of the longest route, took a good version back: they
+	// were compared with the average of the old version's calls on all routes.
+	It("does not take another mix of routes for slowness or failures", func() {
+		e, later := NewEvidence(), start.Add(coldSpan)
+		feed(e, "v2", "short", 1, 0, 40*time.Millisecond, start)
+		feed(e, "v1", "short", 50, 0, 40*time.Millisecond, later)
+		feed(e, "v1", "long", 12, 3, 600*time.Millisecond, later)
+		feed(e, "v2", "short", 1, 0, 40*time.Millisecond, later)
+		feed(e, "v2", "long", 11, 4, 600*time.Millisecond, later)
+		Expect(e.Bad(later)).To(BeEmpty())
+		feed(e, "v2", "long", 8, 0, 8*time.Second, later)
+		Expect(e.Bad(later)).NotTo(BeEmpty())
+	})
+
+	// Calls of a millisecond that wait for a slot now and then took good versions back.
+	It("does not take waits of calls with next to no work for slowness", func() {
+		e, later := NewEvidence(), start.Add(coldSpan)
+		feed(e, "v2", "brief", 1, 0, time.Millisecond, start)
+		feed(e, "v1", "x", 50, 0, 200*time.Millisecond, later)
+		feed(e, "v1", "brief", 20, 0, 2*time.Millisecond, later)
+		feed(e, "v2", "brief", 20, 0, 40*time.Millisecond, later)
+		Expect(e.Bad(later)).To(BeEmpty())
+	})
+
+	It("shows slow answers on one route of several", func() {
+		e, later := NewEvidence(), start.Add(coldSpan)
+		feed(e, "v2", "x", 1, 0, 200*time.Millisecond, start)
+		for _, v := range []mesh.UpstreamVersion{"v1", "v2"} {
+			feed(e, v, "x", 90, 0, 200*time.Millisecond, later)
+		}
+		feed(e, "v1", "y", 10, 0, 40*time.Millisecond, later)
+		feed(e, "v2", "y", 10, 0, 320*time.Millisecond, later)
+		Expect(e.Bad(later)).To(ContainSubstring(`route "y"`))
+	})
+
 	It("is judged by the binomial distribution", func() {
 		Expect(tail(3, 3, 0.5)).To(BeNumerically("~", 0.125, 1e-9))
 		Expect(tail(10, 1, 0.1)).To(BeNumerically("~", 0.6513215599, 1e-9))
