--- a/decision/rollout/rollout_test.go
+++ b/decision/rollout/rollout_test.go
@@ -47,13 +47,19 @@
 var _ = Describe("the share of a new version", func() {
 	r := Begin(&order, nil, view("v1"), time.Minute)
 
-	// The platform lets a bad version get a tenth of the requests.
-	It("adds up to less than a tenth of the time before it gets all calls", func() {
-		sum := 0.0
-		for at := time.Duration(0); Share(&r, r.Started+at) < 1; at += 10 * time.Millisecond {
-			sum += 0.01 / order.Duration.Seconds() * Share(&r, r.Started+at)
+	// The platform lets a bad version get a tenth of the requests. One that is bad only
+	// under load shows when it gets all calls; it was noticed after that tenth.
+	It("leaves time to notice a fault under full load before a tenth of the calls", func() {
+		const step = 10 * time.Millisecond
+		sum, full := 0.0, time.Duration(0)
+		for at := time.Duration(0); sum < 0.1; at += step {
+			share := Share(&r, r.Started+at)
+			sum += float64(step) / float64(order.Duration) * share
+			if share == 1 {
+				full += step
+			}
 		}
-		Expect(sum).To(BeNumerically("<", 0.1))
+		Expect(full).To(BeNumerically(">=", order.Duration/20), "some reports of the nodes at 16 s")
 	})
 
 	It("is all when the move is due, and final after its end", func() {
--- a/decision/rollout/schedule.go
+++ b/decision/rollout/schedule.go
@@ -13,11 +13,12 @@
 // step is a share that applies from a part of the order's time on.
 type step struct{ from, share float64 }
 
-// schedule gives the shares of the new version. Up to the step to all, the sum of
-// share times time is 0.07 of the order's time: the platform lets a bad version
-// get a tenth of the requests. The last quarter is for answers of the old
-// version that are still due when the old servers end.
-var schedule = []step{{0, 0.04}, {0.35, 0.1}, {0.5, 0.3}, {0.6, 0.6}, {0.65, 1}}
+// schedule gives the shares of the new version. The platform lets a bad version get
+// a tenth of the requests. Up to the step to all calls, the sum of share times time
+// is 0.043 of the order's time, so that a version that is bad only under full load
+// can be noticed within the rest. The last quarter is for answers of the old version
+// that are still due when the old servers end.
+var schedule = []step{{0, 0.04}, {0.35, 0.08}, {0.55, 0.25}, {0.6, 1}}
 
 // donePart is the part of the order's time after which a move that went well is
 // done. The rest covers a store that answers late.
