Compare the times of a move only on routes whose calls do work

Cause, from the logs: the verdicts compared calls of 4.5 and 9.3 ms, requests that only test the configuration; such a call takes ten times as long when it waits for a slot. The bound was a tenth of the average call, which at the judging node was an average of the same short calls. Ruled out: servers that have just started.

A route now counts when the old version's calls take a tenth of the route's aim or more; the outcome of a call carries the aim.

--- a/decision/rollout/evidence.go
+++ b/decision/rollout/evidence.go
@@ -24,6 +24,14 @@
 	Route mesh.RouteID `cbor:"1,keyasint"`
 	Old   Count        `cbor:"2,keyasint"`
 	New   Count        `cbor:"3,keyasint"`
+	// Aim is the time in which an answer on the route has its full worth; 0: unknown.
+	Aim time.Duration `cbor:"4,keyasint,omitempty"`
+}
+
+func (c *Counts) add(o *Counts) {
+	c.Old.add(&o.Old)
+	c.New.add(&o.New)
+	c.Aim = max(c.Aim, o.Aim)
 }
 
 // Count is what the calls of one version came to.
@@ -80,6 +88,7 @@
 		return
 	}
 	c := e.route(o.Route, now)
+	c.Aim = o.Aim
 	count := &c.Old
 	switch o.Target.Version {
 	case r.New:
@@ -119,8 +128,7 @@
 	for i := range routes {
 		r := &routes[i]
 		c := e.route(r.Route, now)
-		c.Old.add(&r.Old)
-		c.New.add(&r.New)
+		c.add(r)
 		if e.old[r.Route] == nil {
 			e.old[r.Route] = &Count{}
 		}
@@ -154,8 +162,7 @@
 			if sums[id] == nil {
 				sums[id] = &Counts{Route: id}
 			}
-			sums[id].Old.add(&c.Old)
-			sums[id].New.add(&c.New)
+			sums[id].add(c)
 		}
 	}
 	return sums
--- a/decision/rollout/verdict.go
+++ b/decision/rollout/verdict.go
@@ -28,23 +28,18 @@
 	leastSlow  = 8
 	slowFactor = 3.5
 
-	// briefPart is the part of the average call below which the times of a route are
-	// not compared: most of such a time is the wait for a slot.
+	// briefPart is the part of the route's aim below which times are not compared:
+	// most of such a time is the wait for a slot, and slowFactor times it is still far
+	// from late.
 	briefPart = 0.1
 )
 
 // Bad returns why the new version is bad, or "" while nothing shows that it is.
 func (e *Evidence) Bad(now time.Time) string {
-	routes := e.comparable(now)
-	var old Count
-	for _, c := range routes {
-		old.add(&c.Old)
-	}
-	brief := time.Duration(briefPart * float64(old.mean()))
 	var all comparison
 	why := ""
-	for id, c := range routes {
-		one := c.compare(brief)
+	for id, c := range e.comparable(now) {
+		one := c.compare()
 		all.add(one)
 		if bad := one.bad(); bad != "" {
 			why = fmt.Sprintf("on route %q, %s", id, bad)
@@ -84,11 +79,11 @@
 	expected time.Duration
 }
 
-// compare compares the calls of one route. Times are not compared where the old
-// version's calls are shorter than brief.
-func (c *Counts) compare(brief time.Duration) comparison {
+// compare compares the calls of one route.
+func (c *Counts) compare() comparison {
 	share := min(max(spread*c.Old.failed(), usualFailures), 1)
 	out := comparison{old: c.Old, calls: c.New.Calls, failures: c.New.Failures, usual: share * float64(c.New.Calls)}
+	brief := time.Duration(briefPart * float64(c.Aim))
 	if c.Old.Warm >= leastSlow && c.Old.mean() >= brief {
 		out.warm, out.took = c.New.Warm, c.New.Time
 		out.expected = time.Duration(c.New.Warm) * c.Old.mean()
--- a/mesh/call.go
+++ b/mesh/call.go
@@ -69,6 +69,7 @@
 	Route    RouteID
 	Caller   CallerID
 	Class    Class
+	Aim      time.Duration // of the route: an answer has its full worth within it; 0: none
 	Status   int           // HTTP status, 0 when no answer came
 	Code     int           // result code number, 0 when the upstream answered
 	Failed   bool          // the attempt failed for a reason on the upstream's side
--- a/plugins/callrelay/call.go
+++ b/plugins/callrelay/call.go
@@ -107,7 +107,7 @@
 
 // attempt picks a target and runs the call there once.
 func (c *call) attempt(ctx context.Context, retried bool) (*port.Answer, mesh.Outcome, error) {
-	outcome := mesh.Outcome{Route: c.call.Route, Caller: c.call.Caller, Class: c.call.Class}
+	outcome := mesh.Outcome{Route: c.call.Route, Caller: c.call.Caller, Class: c.call.Class, Aim: c.route.Target}
 	target, err := c.pick(ctx, port.Pick{
 		Call: c.call, Tried: c.tried, First: len(c.tried) == 0, Retried: retried,
 	})
