Count the servers of a move from when they are known

On a large mesh a slow version is noticed only when it gets all calls.

The evidence now learns the servers from the view when the move begins, and again when one starts anew. The spec failed before.

--- a/decision/rollout/evidence.go
+++ b/decision/rollout/evidence.go
@@ -1,7 +1,6 @@
 package rollout
 
 import (
-	"fmt"
 	"time"
 
 	"teaselring/mesh"
@@ -14,8 +13,8 @@
 	windowSpan = 3 * time.Second
 	slotSpan   = 500 * time.Millisecond
 
-	// coldSpan is the time after a server was first seen in which its answers may
-	// be slow because it has just started.
+	// coldSpan is the time after a server became known in which its answers may be
+	// slow because it has just started.
 	coldSpan = 4 * time.Second
 )
 
@@ -69,7 +68,13 @@
 	// old counts the old version's calls since the move began. Once the new version
 	// gets all calls, it is what remains to compare with.
 	old  map[mesh.RouteID]*Count
-	seen map[string]time.Time // first sight of each server of either version
+	seen map[mesh.NodeID]sight // of the servers of both versions, by their nodes
+}
+
+// sight tells since when a server is known.
+type sight struct {
+	process string
+	at      time.Time
 }
 
 type slot struct {
@@ -79,7 +84,22 @@
 
 // NewEvidence returns empty evidence.
 func NewEvidence() *Evidence {
-	return &Evidence{old: map[mesh.RouteID]*Count{}, seen: map[string]time.Time{}}
+	return &Evidence{old: map[mesh.RouteID]*Count{}, seen: map[mesh.NodeID]sight{}}
+}
+
+// See notes the servers of a service. A node of a large mesh meets most servers of a
+// new version only when that gets all calls; counted from the first call, the times
+// of all answers before would be ignored.
+func (e *Evidence) See(view *mesh.View, service mesh.ServiceID, now time.Time) {
+	for i := range view.Members {
+		m := &view.Members[i]
+		if m.Endpoint.Service != service || m.Endpoint.State == mesh.EndpointNone {
+			continue
+		}
+		if s, known := e.seen[m.Node]; !known || s.process != m.Endpoint.Process {
+			e.seen[m.Node] = sight{process: m.Endpoint.Process, at: now}
+		}
+	}
 }
 
 // Observe counts the outcome of a call, if it says something about a version.
@@ -102,13 +122,12 @@
 		count.Failures++
 		return
 	}
-	server := fmt.Sprintf("%s/%d", o.Target.Node, o.Target.Incarnation)
-	first, known := e.seen[server]
+	first, known := e.seen[o.Target.Node]
 	if !known {
-		first = now
-		e.seen[server] = now
+		first.at = now
+		e.seen[o.Target.Node] = first
 	}
-	if now.Sub(first) >= coldSpan || count == &c.Old {
+	if now.Sub(first.at) >= coldSpan || count == &c.Old {
 		count.Warm++
 		count.Time += o.Duration
 	}
--- a/decision/rollout/rollout_test.go
+++ b/decision/rollout/rollout_test.go
@@ -147,6 +147,25 @@
 		Expect(e.Bad(later)).To(ContainSubstring("on average"))
 	})
 
+	// In a large mesh most calls to a new version's servers are a node's first ones to
+	// them. Their times were ignored until the version got all calls.
+	It("counts a server from when it is known, anew for each start", func() {
+		e := NewEvidence()
+		known := view("v2")
+		known.Members[0].Node = "n"
+		e.See(known, "s", start)
+		later := start.Add(coldSpan)
+		feed(e, "v1", "x", 20, 0, time.Second, later)
+		known.Members[0].Endpoint.Process = "restarted"
+		restarted := NewEvidence()
+		restarted.See(known, "s", later)
+		observe(restarted, "v2", "x", 8, 0, 8*time.Second, later)
+		e.Add(restarted.Take(), later)
+		Expect(e.Bad(later)).To(BeEmpty())
+		feed(e, "v2", "x", 8, 0, 8*time.Second, later)
+		Expect(e.Bad(later)).To(ContainSubstring("on average"))
+	})
+
 	// 3 of 13 failed while 19 of 337 of the old version did: a good version was taken
 	// back in overload.
 	It("leaves room for chance when the old version fails too", func() {
--- a/plugins/rolloutrows/rollouts.go
+++ b/plugins/rolloutrows/rollouts.go
@@ -47,7 +47,8 @@
 	revision uint64       // of the row, 0: there is none
 	own      *rollout.Evidence
 	pooled   *rollout.Evidence
-	bad      string // why the new version is bad, for good
+	bad      string     // why the new version is bad, for good
+	view     *mesh.View // whose servers the evidence knows
 	wanted   time.Time
 }
 
@@ -78,6 +79,7 @@
 			d.report(ctx)
 		}
 		d.rows()
+		d.see(time.Now())
 		d.step(ctx, time.Now())
 		d.publish()
 		if d.active() {
@@ -140,6 +142,20 @@
 	return d.services[id]
 }
 
+// see tells the evidence about moves in progress which servers there are.
+func (d *duty) see(now time.Time) {
+	view := d.View.Load()
+	if view == nil {
+		return
+	}
+	for id, s := range d.services {
+		if s.rollout.Phase == mesh.MoveShifting && s.view != view {
+			s.own.See(view, id, now)
+			s.view = view
+		}
+	}
+}
+
 func (d *duty) observe(o *mesh.Outcome, now time.Time) {
 	if s := d.services[o.Target.Service]; s != nil && s.rollout.Phase == mesh.MoveShifting {
 		s.own.Observe(&s.rollout, o, now)
