Let the judging node decide about a version, others only about their own calls

In large meshes a few nodes see several failures by chance within some moves, and whichever did took a good version back for all.

A node that sees the new version fail now avoids it for its own calls and reports what it saw; the judging node, which has the evidence of all, takes the move back. A node that has to end the move in the judging nodes' place takes it back when it avoids the version. Two specs failed before.

--- a/plugins/rolloutrows/rolloutrows_test.go
+++ b/plugins/rolloutrows/rolloutrows_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"teaselring/decision/replica"
+	"teaselring/decision/rollout"
 	"teaselring/kernel"
 	"teaselring/mesh"
 	"teaselring/port"
@@ -132,3 +134,58 @@
 		Expect(d.Splits.Load().ByService["s"].Share).To(BeNumerically(">", 0))
 	})
 })
+
+// Each of many nodes judged by its own few calls, and the first to see some failures by
+// chance took a good version back for all.
+var _ = Describe("failures that one node sees", func() {
+	const service = mesh.ServiceID("s")
+	row := mesh.Rollout{Service: service, Order: 8, Old: "v1", New: "v2", Started: time.Minute, Duration: time.Hour, Phase: mesh.MoveShifting}
+
+	// observing is the duty with a move in progress whose new version fails every call of
+	// the node, and whose judging node is another one or not.
+	observing := func(judging bool) *duty {
+		d := started(rowOf(port.RolloutRowPrefix+"s", row, 7))
+		members := []mesh.Member{member("n", "v1"), member("o", "v2")}
+		view := &mesh.View{Self: "n", Revision: 100, Members: members}
+		for i := 0; (rollout.Judges(service, view)[0].Node == d.Identity.Node) != judging; i++ {
+			members[1].Node = mesh.NodeID(fmt.Sprintf("o%d", i))
+		}
+		d.View.Store(view)
+		d.turn()
+		for i := range 24 {
+			o := mesh.Outcome{Target: mesh.Target{Node: "o", Service: service, Version: "v1"}, Status: 200}
+			if i%2 == 0 {
+				o.Target.Version, o.Failed, o.Status = "v2", true, 500
+			}
+			d.observe(&o, time.Now())
+		}
+		d.report(context.Background())
+		return d
+	}
+
+	It("end its own calls to the new version, not the move", func() {
+		d := observing(false)
+		d.turn()
+		Expect(d.Splits.Load().ByService[service].Share).To(BeZero())
+		Expect(d.Reports.Len()).To(Equal(1))
+		Expect(d.Writes.Len()).To(BeZero())
+	})
+
+	It("end the move when it is the judging node", func() {
+		d := observing(true)
+		d.turn()
+		var w write
+		Expect(d.Writes.C()).To(Receive(&w))
+		Expect(w.rollout.Phase).To(Equal(mesh.MoveTakenBack))
+	})
+
+	It("keep it from ending the move as done in the judging node's place", func() {
+		d := observing(false)
+		now := time.Now().Add(time.Hour)
+		d.step(context.Background(), now)
+		d.step(context.Background(), now.Add(2*turn))
+		var w write
+		Expect(d.Writes.C()).To(Receive(&w))
+		Expect(w.rollout.Phase).To(Equal(mesh.MoveTakenBack))
+	})
+})
--- a/plugins/rolloutrows/rollouts.go
+++ b/plugins/rolloutrows/rollouts.go
@@ -48,6 +48,7 @@
 	own      *rollout.Evidence
 	pooled   *rollout.Evidence
 	bad      string     // why the new version is bad, for good
+	avoided  string     // why this node sends it no calls
 	view     *mesh.View // whose servers the evidence knows
 	wanted   time.Time
 }
@@ -185,7 +186,7 @@
 	d.Logger.Warn().Str("service", string(id)).Str("version", string(s.rollout.New)).Str("why", why).Msg("new version is bad")
 }
 
-// report judges what this node observed, and sends it to the judging node.
+// report sends what this node observed to the judging node, or judges it.
 func (d *duty) report(ctx context.Context) {
 	now := time.Now()
 	for id, s := range d.services {
@@ -194,11 +195,13 @@
 			continue
 		}
 		r := report{Service: id, Order: s.rollout.Order, Routes: routes}
-		d.receive(&r, now)
 		judges := rollout.Judges(id, d.View.Load())
 		if len(judges) == 0 || judges[0].Node == d.Identity.Node {
+			d.receive(&r, now)
 			continue
 		}
+		s.pooled.Add(routes, now)
+		d.avoid(s, s.pooled.Bad(now))
 		out := sending{report: r}
 		for _, m := range judges {
 			if m.Node != d.Identity.Node && len(out.judges) < 2 {
@@ -209,6 +212,17 @@
 	}
 }
 
+// avoid notes that the new version looks bad from this node, which sends it no more
+// calls. That is no verdict: among many nodes a few see several failures by chance.
+func (d *duty) avoid(s *service, why string) {
+	if why == "" || s.avoided != "" {
+		return
+	}
+	s.avoided = why
+	d.Logger.Warn().Str("service", string(s.rollout.Service)).Str("version", string(s.rollout.New)).Str("why", why).
+		Msg("new version avoided by this node")
+}
+
 // step begins, ends and takes back moves.
 func (d *duty) step(ctx context.Context, now time.Time) {
 	orders, clock := d.Orders.Load(), d.Clock.Load()
@@ -236,6 +250,9 @@
 		case rollout.Due(&s.rollout, clock.Now(now)):
 			next := s.rollout
 			next.Phase, next.Reason = rollout.Ending(&next, d.View.Load())
+			if s.avoided != "" { // the judging node does not answer, else it had written by now
+				next.Phase, next.Reason = mesh.MoveTakenBack, s.avoided
+			}
 			d.write(ctx, id, s, next, now)
 		default:
 			s.wanted = time.Time{}
@@ -279,7 +296,7 @@
 			continue
 		}
 		share := rollout.Share(r, clock.Now(time.Now()))
-		if s.bad != "" && r.Phase == mesh.MoveShifting {
+		if (s.bad != "" || s.avoided != "") && r.Phase == mesh.MoveShifting {
 			share = 0
 		}
 		splits.ByService[id] = mesh.Split{Move: mesh.MoveID(id), Old: r.Old, New: r.New, Share: share}
