--- /dev/null
+++ b/wire/attempt_test.go
@@ -0,0 +1,46 @@
+package wire
+
+import (
+	"net/http"
+	"net/url"
+	"testing"
+	"time"
+)
+
+// FuzzAttempt guards against a panic on the headers of a call between nodes, and
+// against an attempt that means something else after being sent on.
+func FuzzAttempt(f *testing.F) {
+	f.Add("a/1", "s", "7", "1200", "900", "500", "2", "ff", "3,1,6")
+	f.Add("a/1", "s", "18446744073709551615", "9223372036854775807", "-1", "", "", "0", "1,2")
+	f.Fuzz(func(t *testing.T, id, service, incarnation, left, startBy, aim, priority, fingerprint, load string) {
+		now := time.Unix(1000, 0)
+		h := http.Header{}
+		for name, value := range map[string]string{
+			HeaderAttempt: id, HeaderService: service, HeaderIncarnation: incarnation, HeaderDeadline: left,
+			HeaderStartBy: startBy, HeaderAim: aim, HeaderPriority: priority, HeaderFingerprint: fingerprint,
+		} {
+			h.Set(name, value)
+		}
+		ParseLoad(load)
+		r := &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/"}, Header: h}
+		a, err := ReadAttempt(r, now)
+		if err != nil {
+			return
+		}
+		r.Header = http.Header{}
+		a.Write(r.Header, now)
+		back, err := ReadAttempt(r, now)
+		if err != nil {
+			t.Fatalf("%+v: %v", a, err)
+		}
+		same := back.ID == a.ID && back.Target == a.Target && back.Call.Fingerprint == a.Call.Fingerprint &&
+			back.Call.Ranked == a.Call.Ranked && back.Call.Priority == a.Call.Priority &&
+			back.Call.Aim.IsZero() == a.Call.Aim.IsZero() && back.Call.StartBy.IsZero() == a.Call.StartBy.IsZero()
+		if !same {
+			t.Fatalf("%+v came back as %+v", a, back)
+		}
+		if a.Call.Deadline.After(now) && !back.Call.Deadline.Equal(a.Call.Deadline) {
+			t.Fatalf("the deadline %v came back as %v", a.Call.Deadline, back.Call.Deadline)
+		}
+	})
+}
