Write one line for nodes that become known at once

A start of n nodes wrote n lines on each of them: 87 nodes that started together wrote some 7,500 lines "node known" within two seconds, 1,200 would write 1.4 million. More than eight nodes that become known at once now leave one line with their number.

--- a/plugins/membershiprows/setup.go
+++ b/plugins/membershiprows/setup.go
@@ -93,18 +93,29 @@
 	}
 	rows := d.Rows.Load()
 	view := &mesh.View{Self: d.self.Node, Members: []mesh.Member{d.self}, Revision: rows.Seen()[port.NodeTable]}
+	var learned []*mesh.Member
 	rows.Each(port.NodeTable, func(r replica.Row) {
-		if m := d.decode(&r); m != nil && m.Node != d.self.Node {
+		m, isNew := d.decode(&r)
+		if m == nil {
+			return
+		}
+		if m.Node != d.self.Node {
 			view.Members = append(view.Members, *m)
 		}
+		if isNew {
+			learned = append(learned, m)
+		}
 	})
+	d.log(learned, view.Revision)
 	sort.Slice(view.Members, func(i, j int) bool { return view.Members[i].Node < view.Members[j].Node })
 	d.View.Store(view)
 }
 
-func (d *duty) decode(r *replica.Row) *mesh.Member {
+// decode returns the member of a row, nil when it can't be read, and whether the row
+// is looked at for the first time.
+func (d *duty) decode(r *replica.Row) (m *mesh.Member, isNew bool) {
 	if e, known := d.decoded[r.Key]; known && e.revision == r.Revision {
-		return e.member
+		return e.member, false
 	}
 	e := entry{revision: r.Revision}
 	if name, ok := strings.CutPrefix(r.Key, port.NodeRowPrefix); ok && name != "" {
@@ -113,10 +124,24 @@
 			d.Logger.Warn().Str("key", r.Key).Err(err).Msg("row of a node can't be read")
 		} else {
 			e.member = &m
-			d.Logger.Info().Str("node", string(m.Node)).Str("instance", m.Endpoint.Instance).
-				Str("version", string(m.Endpoint.Version)).Uint64("revision", r.Revision).Msg("node known")
 		}
 	}
 	d.decoded[r.Key] = e
-	return e.member
+	return e.member, true
+}
+
+// log writes a line for each member, or one for many: a node that starts learns of all
+// others at once, and when all start together their lines would be the square of that.
+func (d *duty) log(learned []*mesh.Member, revision uint64) {
+	if len(learned) > mostLines {
+		d.Logger.Info().Int("nodes", len(learned)).Uint64("revision", revision).Msg("nodes known")
+		return
+	}
+	for _, m := range learned {
+		d.Logger.Info().Str("node", string(m.Node)).Str("instance", m.Endpoint.Instance).
+			Str("version", string(m.Endpoint.Version)).Uint64("revision", revision).Msg("node known")
+	}
 }
+
+// mostLines bounds the lines about nodes that become known at once.
+const mostLines = 8
