Use what stands already in place of what the change wrote again

- audit.trail waits with kernel.Sleep; its own copy goes.
- rollout.rows decides one step on one view, loaded three times before; a check for a missing view stood before the function that makes it.
- The two early returns of a node's hint are one.
- Lines "node known" tell the revision of the row again; since they were bounded they told that of the table.
The spec now checks it and failed before.
- Tests: callrelay's servers share the loop that accepts connections; an order is given in one place for the process tests and the soak.
Otherwise behaviour unchanged.
Lint, the packages' tests and the process test of moves pass.

--- a/plugins/audittrail/audit.go
+++ b/plugins/audittrail/audit.go
@@ -77,7 +77,7 @@
 			w.journal.incarnation = own
 			return
 		}
-		pause(ctx, viewCheck)
+		_ = kernel.Sleep(ctx, viewCheck)
 	}
 }
 
@@ -137,7 +137,7 @@
 		if !w.retry(err) {
 			continue
 		}
-		if !pause(ctx, time.Duration((0.5+rand.Float64()/2)*float64(wait))) {
+		if kernel.Sleep(ctx, time.Duration((0.5+rand.Float64()/2)*float64(wait))) != nil {
 			return
 		}
 		wait = min(2*wait, w.settings.RetryMax.Duration)
@@ -221,15 +221,3 @@
 		}
 	}
 }
-
-// pause reports whether the time passed before ctx ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/plugins/callrelay/leaving_test.go
+++ b/plugins/callrelay/leaving_test.go
@@ -89,11 +89,7 @@
 // rejectingServer answers the first request of each connection before it has
 // read the body, and reads on only when told to.
 func rejectingServer(readOn <-chan struct{}) (address string) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(listener.Close)
-	serve := func(c net.Conn) {
-		defer func() { _ = c.Close() }()
+	return accepting(func(c net.Conn) {
 		reader := bufio.NewReader(c)
 		for {
 			r, err := http.ReadRequest(reader)
@@ -109,17 +105,7 @@
 				_, _ = io.WriteString(c, ok("1", "abc"))
 			}
 		}
-	}
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
-	return listener.Addr().String()
+	})
 }
 
 var _ = Describe("a connection on which a long body was rejected", func() {
--- a/plugins/callrelay/relay_test.go
+++ b/plugins/callrelay/relay_test.go
@@ -111,16 +111,12 @@
 
 // server answers each request of each connection by the scripted bytes.
 func server(script ...string) (address string, requests chan *http.Request) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(listener.Close)
 	requests = make(chan *http.Request, 16)
 	next := make(chan string, len(script))
 	for _, s := range script {
 		next <- s
 	}
-	serve := func(c net.Conn) {
-		defer func() { _ = c.Close() }()
+	return accepting(func(c net.Conn) {
 		for reader := bufio.NewReader(c); ; {
 			r, err := http.ReadRequest(reader)
 			if err != nil {
@@ -134,17 +130,27 @@
 				return
 			}
 		}
-	}
+	}), requests
+}
+
+// accepting serves each connection to the address until the test ends.
+func accepting(serve func(net.Conn)) (address string) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
 	go func() {
 		for {
 			c, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go serve(c)
+			go func() {
+				defer func() { _ = c.Close() }()
+				serve(c)
+			}()
 		}
 	}()
-	return listener.Addr().String(), requests
+	return listener.Addr().String()
 }
 
 // closes ends a scripted answer after which the server closes the connection.
--- a/plugins/callrelay/setup.go
+++ b/plugins/callrelay/setup.go
@@ -74,10 +74,7 @@
 func (in *relayIn) hintFrom(h http.Header, peer string) {
 	text := h.Get(port.SeenHeader)
 	h.Del(port.SeenHeader)
-	if text == "" {
-		return
-	}
-	if text == in.seen() {
+	if text == "" || text == in.seen() {
 		return
 	}
 	if seen := port.ParseSeen(text); in.Rows.Load().Seen().Behind(seen) {
--- a/plugins/membershiprows/membershiprows_test.go
+++ b/plugins/membershiprows/membershiprows_test.go
@@ -54,6 +54,7 @@
 		d.Rows.Store(replica.New().List(port.NodeTable, rows, 102))
 		d.publish()
 		Expect(strings.Count(out.String(), `"node known"`)).To(Equal(2))
+		Expect(out.String()).To(And(ContainSubstring(`"revision":101`), ContainSubstring(`"revision":102`)), "those of the rows")
 		Expect(strings.Count(out.String(), "\n")).To(Equal(2))
 	})
 
--- a/plugins/membershiprows/setup.go
+++ b/plugins/membershiprows/setup.go
@@ -93,17 +93,17 @@
 	}
 	rows := d.Rows.Load()
 	view := &mesh.View{Self: d.self.Node, Members: []mesh.Member{d.self}, Revision: rows.Seen()[port.NodeTable]}
-	var learned []*mesh.Member
+	var learned []entry
 	rows.Each(port.NodeTable, func(r replica.Row) {
-		m, isNew := d.decode(&r)
-		if m == nil {
+		e, isNew := d.decode(&r)
+		if e.member == nil {
 			return
 		}
-		if m.Node != d.self.Node {
-			view.Members = append(view.Members, *m)
+		if e.member.Node != d.self.Node {
+			view.Members = append(view.Members, *e.member)
 		}
 		if isNew {
-			learned = append(learned, m)
+			learned = append(learned, e)
 		}
 	})
 	d.log(learned, view.Revision)
@@ -111,13 +111,13 @@
 	d.View.Store(view)
 }
 
-// decode returns the member of a row, nil when it can't be read, and whether the row
-// is looked at for the first time.
-func (d *duty) decode(r *replica.Row) (m *mesh.Member, isNew bool) {
+// decode returns a decoded row and whether this revision of it is looked at for the
+// first time.
+func (d *duty) decode(r *replica.Row) (e entry, isNew bool) {
 	if e, known := d.decoded[r.Key]; known && e.revision == r.Revision {
-		return e.member, false
+		return e, false
 	}
-	e := entry{revision: r.Revision}
+	e = entry{revision: r.Revision}
 	if name, ok := strings.CutPrefix(r.Key, port.NodeRowPrefix); ok && name != "" {
 		var m mesh.Member
 		if err := cbor.Unmarshal(r.Value, &m); err != nil || string(m.Node) != name || m.PeerAddress == "" {
@@ -127,19 +127,20 @@
 		}
 	}
 	d.decoded[r.Key] = e
-	return e.member, true
+	return e, true
 }
 
 // log writes a line for each member, or one for many: a node that starts learns of all
 // others at once, and when all start together their lines would be the square of that.
-func (d *duty) log(learned []*mesh.Member, revision uint64) {
+func (d *duty) log(learned []entry, revision uint64) {
 	if len(learned) > mostLines {
 		d.Logger.Info().Int("nodes", len(learned)).Uint64("revision", revision).Msg("nodes known")
 		return
 	}
-	for _, m := range learned {
+	for _, e := range learned {
+		m := e.member
 		d.Logger.Info().Str("node", string(m.Node)).Str("instance", m.Endpoint.Instance).
-			Str("version", string(m.Endpoint.Version)).Uint64("revision", revision).Msg("node known")
+			Str("version", string(m.Endpoint.Version)).Uint64("revision", e.revision).Msg("node known")
 	}
 }
 
--- a/plugins/rolloutrows/rollouts.go
+++ b/plugins/rolloutrows/rollouts.go
@@ -227,7 +227,7 @@
 func (d *duty) step(ctx context.Context, now time.Time) {
 	orders, clock := d.Orders.Load(), d.Clock.Load()
 	view := d.View.Load()
-	if orders == nil || clock == nil || view == nil || !d.set.Listed(port.NodeTable) || !port.ShowsAll(view, d.set) {
+	if orders == nil || clock == nil || !d.set.Listed(port.NodeTable) || !port.ShowsAll(view, d.set) {
 		return
 	}
 	for id, order := range orders.ByService {
@@ -238,7 +238,7 @@
 			if s.revision != 0 {
 				before = &s.rollout
 			}
-			next := rollout.Begin(&order, before, d.View.Load(), clock.Now(now))
+			next := rollout.Begin(&order, before, view, clock.Now(now))
 			if next.Old == next.New && clock.Now(now) < order.Seen+time.Duration(alonePart*float64(order.Duration)) {
 				continue
 			}
@@ -249,7 +249,7 @@
 			d.write(ctx, id, s, next, now)
 		case rollout.Due(&s.rollout, clock.Now(now)):
 			next := s.rollout
-			next.Phase, next.Reason = rollout.Ending(&next, d.View.Load())
+			next.Phase, next.Reason = rollout.Ending(&next, view)
 			if s.avoided != "" { // the judging node does not answer, else it had written by now
 				next.Phase, next.Reason = mesh.MoveTakenBack, s.avoided
 			}
--- a/test/sidecar/mesh.go
+++ b/test/sidecar/mesh.go
@@ -140,6 +140,14 @@
 	})
 }
 
+// OrderKey is the key of the order to move the service, and of its status.
+const OrderKey = "rollout/" + Service
+
+// Order asks for a move of the service to a version within a time.
+func (m *Mesh) Order(version string, span time.Duration) {
+	m.Store.Put("op", OrderKey, map[string]any{"Service": Service, "Target": version, "DurationS": span.Seconds()})
+}
+
 // prepare reserves the addresses of a machine and writes its settings.
 func (m *Mesh) prepare(i int, o *Options) *Machine {
 	name, zone := fmt.Sprintf("m%d", i), fmt.Sprintf("z%d", i%max(o.Zones, 1))
--- a/test/sidecar/moves_test.go
+++ b/test/sidecar/moves_test.go
@@ -45,15 +45,10 @@
 	return m
 }
 
-// order asks for a move to the new version within a time.
-func (m *Mesh) order(span time.Duration) {
-	m.Store.Put("op", "rollout/"+Service, map[string]any{"Service": Service, "Target": "v2", "DurationS": span.Seconds()})
-}
-
 // moved reports whether the move has ended in a state.
 func (m *Mesh) moved(want string) func() error {
 	return func() error {
-		row := m.Store.Row("status", "rollout/"+Service)
+		row := m.Store.Row("status", OrderKey)
 		var status struct{ State, Target string }
 		if row == nil {
 			return errors.New("no state yet")
@@ -85,7 +80,7 @@
 
 	// A good version was taken back when the times of unlike calls were compared.
 	It("to a good version is completed, and all calls go there", func() {
-		m.order(8 * time.Second)
+		m.Order("v2", 8*time.Second)
 		Eventually(m.moved("completed"), harness.Deadline).Should(Succeed())
 		for _, machine := range m.Machines {
 			Eventually(func() (string, error) {
@@ -99,7 +94,7 @@
 		for _, machine := range m.Machines {
 			machine.Server.Fail(machine.Server.Version() == "v2")
 		}
-		m.order(20 * time.Second)
+		m.Order("v2", 20*time.Second)
 		Eventually(m.moved("rolled_back"), harness.Deadline).Should(Succeed())
 		Expect(ran()).To(BeNumerically(">", 0), "the new version has had calls")
 		Eventually(func() int64 { before := ran(); time.Sleep(500 * time.Millisecond); return ran() - before }, harness.Deadline).Should(BeZero())
--- a/test/soak/fleet.go
+++ b/test/soak/fleet.go
@@ -102,15 +102,13 @@
 		}
 	}
 	f.mesh.Store.OnPut = f.moved
-	f.mesh.Store.Put("op", "rollout/"+sidecar.Service, map[string]any{
-		"Service": sidecar.Service, "Target": newVersion, "DurationS": moveSpan.Seconds(),
-	})
+	f.mesh.Order(newVersion, moveSpan)
 }
 
 // moved notes each state of the move that the nodes write.
 func (f *fleet) moved(table, key string, value []byte) {
 	var status struct{ State string }
-	if table != "status" || key != "rollout/"+sidecar.Service || json.Unmarshal(value, &status) != nil {
+	if table != "status" || key != sidecar.OrderKey || json.Unmarshal(value, &status) != nil {
 		return
 	}
 	f.move.Lock()
