Wait for the end of both crashed processes before restarting them in a spec

Cause, from its log: u1's node never saw another process of it. A process breaks its connections before its parent is told of its end; the spec looked once, found u1 still there and restarted only the other. With that notice delayed by 200 ms the spec failed with the same message, and passes now. Ruled out: the product; every call was answered. The spec's assertions are unchanged.

--- a/test/suite/crash_test.go
+++ b/test/suite/crash_test.go
@@ -41,6 +41,21 @@
 		Expect(poison(s.Nodes[i]).result()).To(Equal(result.UpstreamLost))
 		Expect(crashes()).To(Equal(i + 1))
 	}
+	// A process breaks its connections before its end is noticed here.
+	s.H.Until("the end of both processes", func() error {
+		ended := 0
+		for _, u := range s.upstreams {
+			select {
+			case <-u.Ended():
+				ended++
+			default:
+			}
+		}
+		if ended < 2 {
+			return fmt.Errorf("%d have ended", ended)
+		}
+		return nil
+	})
 	// Nodes report a crash 0.5 s after they notice the end of the process. A
 	// repetition before that could not be stopped.
 	for i, u := range s.upstreams {
