Review: send more requests in the cases of leaving servers

Cause: with clients in the other zone, few requests chose the server that leaves. Change: three of the four machines share a zone, and the clients send twice as many.

--- a/review/standin/late.go
+++ b/review/standin/late.go
@@ -17,7 +17,7 @@
 		servesOn     = 12 * time.Second
 	)
 	s.configure(7, []string{service}, route("r-read", host, prefix, "idempotent", service, 1.2, 2))
-	for _, zone := range []string{"cam-a", "cam-a", "cam-b", "cam-b"} {
+	for _, zone := range []string{"cam-a", "cam-a", "cam-a", "cam-b"} {
 		s.addMachine(zone, service, 40*time.Millisecond)
 	}
 	s.begin()
@@ -25,7 +25,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		every(20*time.Millisecond, time.Now().Add(servesOn+2*time.Second), func(number int) {
+		every(10*time.Millisecond, time.Now().Add(servesOn+2*time.Second), func(number int) {
 			s.machines[1+number%3].send(http.MethodGet, attemptID(), host, prefix+"2f", nil, 1200*time.Millisecond)
 		})
 	}()
--- a/review/standin/odd.go
+++ b/review/standin/odd.go
@@ -14,7 +14,7 @@
 		servesOn     = 8 * time.Second
 	)
 	s.configure(7, []string{service}, route("r-read", host, prefix, "idempotent", service, 1.2, 2))
-	for _, zone := range []string{"cam-a", "cam-a", "cam-b", "cam-b"} {
+	for _, zone := range []string{"cam-a", "cam-a", "cam-a", "cam-b"} {
 		s.addMachine(zone, service, 40*time.Millisecond)
 	}
 	s.begin()
@@ -22,7 +22,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		every(20*time.Millisecond, time.Now().Add(servesOn+6*time.Second), func(number int) {
+		every(10*time.Millisecond, time.Now().Add(servesOn+6*time.Second), func(number int) {
 			s.machines[1+number%3].send(http.MethodGet, attemptID(), host, prefix+"2f", nil, 1200*time.Millisecond)
 		})
 	}()
