--- a/review/standin/poison.go
+++ b/review/standin/poison.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -12,15 +13,17 @@
 func poisonCase(s *scene) {
 	const (
 		host, prefix = "jepu9.example", "/lepu270/"
+		oncePrefix   = "/xapu221/ny95/"
 		service      = "huvo11a"
 		downFor      = 3 * time.Second // until a crashed server is back
 		interval     = 2 * time.Second // of the request
 		gap          = 9 * time.Second // between two restarts
 		allowed      = 3
 	)
-	s.configure(7, []string{service}, route("r-read", host, prefix, "idempotent", service, 1.2, 2))
+	s.configure(7, []string{service}, route("r-read", host, prefix, "idempotent", service, 1.2, 2),
+		route("r-once", host, oncePrefix, "non_idempotent", service, 1.5, 2))
 	for _, zone := range []string{"cam-a", "cam-b", "cam-c", "cam-d", "cam-a", "cam-b"} {
-		s.addMachine(zone, service, 40*time.Millisecond)
+		s.addMachine(zone, service, 120*time.Millisecond)
 	}
 	type arrival struct {
 		run
@@ -46,6 +49,7 @@
 	s.begin()
 	end := time.Now().Add(10*time.Second + time.Duration(len(s.machines))*gap + 6*time.Second)
 	done := make(chan struct{}, 2)
+	var lost atomic.Int64 // requests of others that ran on a server when it crashed
 	go func() {
 		every(interval, end, func(number int) {
 			m := s.machines[number%len(s.machines)]
@@ -56,8 +60,15 @@
 		done <- struct{}{}
 	}()
 	go func() {
-		every(100*time.Millisecond, end, func(number int) {
-			s.machines[number%len(s.machines)].send(http.MethodGet, attemptID(), host, prefix+"2f", nil, 1200*time.Millisecond)
+		every(30*time.Millisecond, end, func(number int) {
+			m := s.machines[number%len(s.machines)]
+			if m.isDown() {
+				return // its clients are elsewhere
+			}
+			status := m.send(http.MethodPost, attemptID(), host, oncePrefix+"2f", []byte("box"), 1500*time.Millisecond)
+			if status == http.StatusBadGateway {
+				lost.Add(1)
+			}
 		})
 		done <- struct{}{}
 	}()
@@ -77,7 +88,7 @@
 			counted++
 		}
 	}
-	s.record("%d crashes, %d of them count", len(arrivals), counted)
+	s.record("%d crashes, %d of them count; %d requests of other clients got 502", len(arrivals), counted, lost.Load())
 	if len(arrivals) < 2 {
 		s.problem = "the request crashed no servers"
 	}
--- a/review/standin/scene.go
+++ b/review/standin/scene.go
@@ -279,6 +279,13 @@
 	m.startNode()
 }
 
+// isDown reports whether the node's process is being stopped or is not running.
+func (m *machine) isDown() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.stopping
+}
+
 // inTouch reports whether the node was left undisturbed for StableWindowS.
 func (m *machine) inTouch(now time.Time) bool {
 	m.mu.Lock()
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -40,9 +40,9 @@
 	crashes func(r *http.Request) bool
 	// onRun is called for each request that begins to run; it may be nil.
 	onRun func(run)
-	// rejects decides for a request, by its number, whether it is rejected though there
-	// is room, repeats whether its answer is sent a second time, late; nil: never.
-	rejects, repeats func(number int) bool
+	// addsBytes decides for a request, by its number, whether bytes that belong to no
+	// request follow its answer, late; nil: never.
+	addsBytes func(number int) bool
 
 	mu       sync.Mutex
 	listener *http.Server
@@ -64,18 +64,17 @@
 	return &server{s: s, m: m, service: service, work: work, version: "v1"}
 }
 
-// disturb sets the functions that decide which requests are rejected and which answers
-// are sent twice.
-func (v *server) disturb(rejects, repeats func(number int) bool) {
+// disturb sets the function that decides which answers are followed by other bytes.
+func (v *server) disturb(addsBytes func(number int) bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.rejects, v.repeats, v.asked = rejects, repeats, 0
+	v.addsBytes, v.asked = addsBytes, 0
 }
 
 // kept is the state of a connection that may carry further requests.
 type kept struct {
 	conn net.Conn
-	late []byte // a second copy of an answer, to be sent where the next one is due
+	late bool // other bytes are to be sent where the next answer is due
 }
 
 type keptKey struct{}
@@ -139,6 +138,9 @@
 		return
 	}
 	request := r.Header.Get("Attempt-Id")
+	if request != "" {
+		h.Set("Attempt-Id", request)
+	}
 	switch expected := r.Header.Get("Expected-Instance"); {
 	case request == "":
 		h.Set("Not-Executed", "1")
@@ -154,22 +156,11 @@
 		return // the body was cut: the request has not begun to run
 	}
 	k := r.Context().Value(keptKey{}).(*kept)
-	if k.late != nil {
-		v.s.record("%s: server %s sends the late copy of an earlier answer on the connection of %s", v.m.name, id, request)
-		_, _ = k.conn.Write(k.late)
-		k.late = nil
-	}
-	rejected, repeated := v.decide()
-	if rejected {
-		const rejection = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
-		if repeated {
-			k.late = []byte(rejection)
-		}
-		v.s.record("%s: server %s rejects %s, a second copy follows: %v", v.m.name, id, request, repeated)
-		h.Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+	if k.late {
+		v.s.record("%s: server %s sends additional bytes on the connection of %s", v.m.name, id, request)
+		_, _ = io.WriteString(k.conn, additionalBytes)
 	}
+	k.late = v.nextAddsBytes()
 	deadline := time.Now().Add(time.Minute)
 	if ms, err := strconv.Atoi(r.Header.Get("Deadline-Milliseconds")); err == nil {
 		deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
@@ -200,7 +191,6 @@
 	time.Sleep(min(v.work, time.Until(deadline)))
 	h.Set("Response-Signature", "s."+id+"."+request)
 	if time.Now().After(deadline) {
-		h.Set("Attempt-Id", request)
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return
 	}
@@ -209,21 +199,18 @@
 		reset(w)
 		return
 	}
-	answer := fmt.Sprintf("%s by %s: %d bytes", request, id, len(body))
-	h.Set("Attempt-Id", request)
-	if repeated {
-		k.late = fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Signature: s.%s.%s\r\nContent-Length: %d\r\n\r\n%s",
-			request, id, request, len(answer), answer)
-	}
-	_, _ = io.WriteString(w, answer)
+	_, _ = fmt.Fprintf(w, "%s by %s: %d bytes", request, id, len(body))
 }
 
-// decide reports whether the next request is rejected and whether its answer comes twice.
-func (v *server) decide() (rejected, repeated bool) {
+// additionalBytes belong to no request: they look like a rejection, but bear no id.
+const additionalBytes = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+// nextAddsBytes reports whether additional bytes follow the answer to the next request.
+func (v *server) nextAddsBytes() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.asked++
-	return v.rejects != nil && v.rejects(v.asked), v.repeats != nil && v.repeats(v.asked)
+	return v.addsBytes != nil && v.addsBytes(v.asked)
 }
 
 // reset resets the connection of a request.
--- a/review/standin/stray.go
+++ b/review/standin/stray.go
@@ -8,15 +8,14 @@
 	"time"
 )
 
-// strayCase: a server rejects a part of its requests, and some of its answers are sent a
-// second time, late, where the next answer on the connection is due. A request that must
-// run once runs at that server, but the late copy of the rejection of an earlier request
-// is taken for its answer.
+// strayCase: a server sends additional bytes after some of its answers, late, where the
+// next answer on the connection is due. They look like a rejection, but bear no id. A
+// request that must run once runs at that server, and they are taken for its answer.
 func strayCase(s *scene) {
 	const (
 		host, prefix = "hulo84.example", "/xapu221/ny95/"
 		service      = "wuno96b"
-		phase        = 5 * time.Second // for_s of both disruptions
+		phase        = 5 * time.Second // for_s of the disruption
 	)
 	s.configure(7, []string{service}, route("r-once", host, prefix, "non_idempotent", service, 1.5, 2))
 	for _, zone := range []string{"cam-a", "cam-b", "cam-c", "cam-d"} {
@@ -24,11 +23,10 @@
 	}
 	s.begin()
 	if s.trouble {
-		// x = 0.45 of the requests are rejected, x = 0.03 of the answers come twice.
-		s.machines[0].server.disturb(
-			func(number int) bool { return number%2 == 0 && number%20 != 0 },
-			func(number int) bool { return number%34 == 4 },
-		)
+		// x = 0.03 of the answers of half of the servers (share 0.5).
+		for _, m := range s.machines[:2] {
+			m.server.disturb(func(number int) bool { return number%34 == 4 })
+		}
 	}
 	var mu sync.Mutex
 	statuses := map[string]int{}
