Decide by the class of a route alone whether a call may run twice

Cause: Call.Idempotent went by the method for every class but once, so PUT, DELETE and GET on an upload route counted as idempotent. The log line 'retry decided' shows it: code 1024 (may have run), retry true, for PUT only. Change: class read is idempotent, all others are not, whatever the method. The same answer decides whether net/http may repeat a request without a body (call.forward). Evidence: with the old method 7 specs of decision/retry and 2 of plugins/callforward fail.

--- a/decision/retry/retry_test.go
+++ b/decision/retry/retry_test.go
@@ -32,7 +32,10 @@
 	Entry("a once call that was shed", "POST", mesh.ClassOnce, mesh.Outcome{Status: 503, Shed: true}, ReasonAllowed),
 	Entry("a once call that may have run", "POST", mesh.ClassOnce, mesh.Outcome{Code: 1008}, ReasonNotIdempotent),
 	Entry("a once call sent as GET that may have run", "GET", mesh.ClassOnce, mesh.Outcome{Code: 1008}, ReasonNotIdempotent),
-	Entry("a POST that may have run", "POST", mesh.ClassUpload, mesh.Outcome{Code: 1008}, ReasonNotIdempotent),
+	Entry("an upload sent by POST that may have run", "POST", mesh.ClassUpload, mesh.Outcome{Code: 1008}, ReasonNotIdempotent),
+	Entry("an upload sent by PUT that may have run", "PUT", mesh.ClassUpload, mesh.Outcome{Code: 1008}, ReasonNotIdempotent),
+	Entry("an upload sent by DELETE whose upstream crashed", "DELETE", mesh.ClassUpload, mesh.Outcome{Code: 1024}, ReasonNotIdempotent),
+	Entry("a read sent by POST that may have run", "POST", mesh.ClassRead, mesh.Outcome{Code: 1008}, ReasonAllowed),
 	Entry("a GET that may have run", "GET", mesh.ClassRead, mesh.Outcome{Code: 1008}, ReasonAllowed),
 	Entry("a GET whose upstream crashed", "GET", mesh.ClassRead, mesh.Outcome{Code: 1024}, ReasonAllowed),
 	Entry("a POST that was fenced", "POST", mesh.ClassUpload, mesh.Outcome{Code: 1020}, ReasonAllowed),
@@ -44,6 +47,32 @@
 	Entry("an unknown code", "GET", mesh.ClassRead, mesh.Outcome{Code: 4242}, ReasonNotIdempotent),
 )
 
+// Guards against an upload that runs twice because its client sent it by PUT: a failure
+// that leaves open whether the call has run is retried for class read only, by any
+// method; one with proof that it has not run, for every class.
+var _ = DescribeTable("the decision on every outcome, by every method,",
+	func(class mesh.Class) {
+		retried := func(method string, class mesh.Class, code *result.Code) bool {
+			a := &Attempt{Call: callOf(method, class), Outcome: &mesh.Outcome{Code: code.Number}, AttemptCount: 1, ChargedCaller: "shop", RetryPercent: 10}
+			return policy.Decide(a, NewBudgets(DefaultBudgetParams()), 0.5, start).Retry
+		}
+		for _, code := range result.All() {
+			if code.Ran == result.NotACall || code == result.OK {
+				continue
+			}
+			want := retried("GET", mesh.ClassRead, code) && (class == mesh.ClassRead || code.Ran == result.NotRun)
+			for _, method := range []string{"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE", "POST", "PATCH", "REPORT"} {
+				Expect(retried(method, class, code)).To(Equal(want), "%s, %s", method, code.Name)
+			}
+		}
+	},
+	Entry("of class once", mesh.ClassOnce),
+	Entry("of class upload", mesh.ClassUpload),
+	Entry("of class read", mesh.ClassRead),
+	Entry("without a class", mesh.Class("")),
+	Entry("of an unknown class", mesh.Class("unknown")),
+)
+
 var _ = DescribeTable("a retry is denied",
 	func(change func(*Attempt, *Budgets), want DecisionReason) {
 		a := &Attempt{Call: callOf("GET", mesh.ClassRead), Outcome: &mesh.Outcome{Code: 1009}, AttemptCount: 1, ChargedCaller: "shop", RetryPercent: 10}
--- a/mesh/call.go
+++ b/mesh/call.go
@@ -30,18 +30,8 @@
 	BodyLength int64
 }
 
-// Idempotent reports whether the call can safely run twice: safe methods, PUT and
-// DELETE (RFC 9110 section 9.2.2), except in class once.
-func (c *Call) Idempotent() bool {
-	if c.Class == ClassOnce {
-		return false
-	}
-	switch c.Method {
-	case "GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE":
-		return true
-	}
-	return false
-}
+// Idempotent reports whether the call may run more than once.
+func (c *Call) Idempotent() bool { return c.Class.Idempotent() }
 
 // Load is the upstream load that an owner node reports with each response.
 type Load struct {
--- a/mesh/record.go
+++ b/mesh/record.go
@@ -70,3 +70,8 @@
 	ClassUpload Class = "upload" // long-running, tolerates slow senders
 	ClassRead   Class = "read"   // may wait, is shed first
 )
+
+// Idempotent reports whether calls of the class may run more than once. The class of
+// a route decides alone: the method of a request, which its client chooses, says
+// nothing about what the operator allows.
+func (c Class) Idempotent() bool { return c == ClassRead }
--- a/plugins/callforward/callforward_test.go
+++ b/plugins/callforward/callforward_test.go
@@ -118,6 +118,29 @@
 	Entry("with a body, through another node", false, "12 ML"),
 )
 
+// Guards against an upload that net/http repeats because of its method: it takes GET, HEAD,
+// OPTIONS and TRACE for requests that may be repeated, whatever the class of the route.
+var _ = DescribeTable("an upload without a body on a kept connection that breaks is sent once", func(method string, local bool) {
+	address, keys := breakingUpstream()
+	p := newPair(address)
+	p.targets = []mesh.Target{p.remote(), p.remote()}
+	if local {
+		p.targets = []mesh.Target{p.local(), p.local()}
+	}
+	response, _, _ := send(p.request(method, "/upload/a", "", nil))
+	Expect(response.StatusCode).To(Equal(http.StatusOK))
+	response, _, _ = send(p.request(method, "/upload/b", "", nil))
+	Expect(code(response)).To(Equal(result.UpstreamLost))
+	Expect(keys).To(Receive())
+	Expect(keys).To(Receive())
+	Expect(keys).NotTo(Receive())
+},
+	Entry("by GET, on the entry node itself", "GET", true),
+	Entry("by GET, through another node", "GET", false),
+	Entry("by OPTIONS, on the entry node itself", "OPTIONS", true),
+	Entry("by PUT, through another node", "PUT", false),
+)
+
 func code(response *http.Response) *result.Code {
 	number, err := strconv.Atoi(response.Header.Get("Teasel-Code"))
 	Expect(err).NotTo(HaveOccurred(), response.Status)
