Start a pipelined request early by the class of its route, not by its method

Change: the class of the route decides. The port of the host is removed where routes are looked up, so that the edge and the call path find the same one. The spec of pipelined requests now has routes and an entry for each of POST, GET, HEAD and PUT. Evidence: with the old edge the entries for GET and HEAD fail; with the new one all pass.

--- a/mesh/snapshot.go
+++ b/mesh/snapshot.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"net"
 	"sort"
 	"strings"
 	"time"
@@ -164,8 +165,12 @@
 	return nil
 }
 
-// RouteOfHost returns the host's route with the longest prefix of the path, or nil.
+// RouteOfHost returns the host's route with the longest prefix of the path, or nil. The
+// host may have a port, which is ignored.
 func (s *Snapshot) RouteOfHost(host, path string) *Route {
+	if hostname, _, err := net.SplitHostPort(host); err == nil {
+		host = hostname
+	}
 	for _, r := range s.ByHost[host] {
 		if strings.HasPrefix(path, r.PathPrefix) {
 			return r
--- a/plugins/callrelay/entry.go
+++ b/plugins/callrelay/entry.go
@@ -6,7 +6,6 @@
 	"hash/fnv"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -75,13 +74,10 @@
 	if id == "" {
 		return c, result.BadRequest.Errorf("header %s is missing", e.Headers.RequestID)
 	}
-	host, path := r.Host, r.URL.Path
-	if hostname, _, err := net.SplitHostPort(host); err == nil {
-		host = hostname
-	}
-	route := snapshot.RouteOfHost(host, path)
+	path := r.URL.Path
+	route := snapshot.RouteOfHost(r.Host, path)
 	if route == nil {
-		return c, result.NoRoute.Errorf("no route matches %s%s in version %d", host, path, snapshot.Version)
+		return c, result.NoRoute.Errorf("no route matches %s%s in version %d", r.Host, path, snapshot.Version)
 	}
 	c.route, c.version = route, snapshot.Version
 	timeout := route.Timeout
--- a/plugins/edgeoutbound/client.go
+++ b/plugins/edgeoutbound/client.go
@@ -127,7 +127,7 @@
 	if err := validateRequest(request, limits.BodyBytes); err != nil {
 		return c.refuse(x, err)
 	}
-	if !hasSafeMethod(request) && !c.awaitAllAnswered() {
+	if !c.edge.mayOverlap(request) && !c.awaitAllAnswered() {
 		return false
 	}
 	return c.startCall(x, limits.BodyBytes)
@@ -225,11 +225,16 @@
 	return false
 }
 
-// hasSafeMethod reports whether a pipelined request may start before the earlier
-// ones are answered. If an earlier response closes the connection, the client
-// resends the request.
-func hasSafeMethod(r *http.Request) bool {
-	return r.Method == http.MethodGet || r.Method == http.MethodHead
+// mayOverlap reports whether a pipelined request may start before the earlier ones are
+// answered. If an earlier response closes the connection, the client resends the request,
+// whatever its class.
+func (e *edge) mayOverlap(r *http.Request) bool {
+	snapshot := e.Snapshot.Load()
+	if snapshot == nil {
+		return false
+	}
+	route := snapshot.RouteOfHost(r.Host, r.URL.Path)
+	return route != nil && route.Class.Idempotent()
 }
 
 // awaitAllAnswered waits until all earlier requests are answered. It reports false
--- a/plugins/edgeoutbound/edgeoutbound_test.go
+++ b/plugins/edgeoutbound/edgeoutbound_test.go
@@ -34,7 +34,13 @@
 
 func startEdge(limits mesh.EdgeLimits, path port.CallPath) (net.Conn, *edge) {
 	snapshot := new(port.SnapshotCell)
-	snapshot.Store(&mesh.Snapshot{Limits: limits})
+	configuration := &mesh.Snapshot{Limits: limits, Routes: []mesh.Route{
+		{ID: "read", Host: "h", PathPrefix: "/", Class: mesh.ClassRead},
+		{ID: "once", Host: "h", PathPrefix: "/once/", Class: mesh.ClassOnce},
+		{ID: "upload", Host: "h", PathPrefix: "/upload/", Class: mesh.ClassUpload},
+	}}
+	Expect(configuration.IndexByHost()).To(Succeed())
+	snapshot.Store(configuration)
 	e := &edge{
 		edgeIn: edgeIn{
 			PlatformSettings: &port.PlatformSettings{Outbound: netip.MustParseAddrPort("127.0.0.1:0")}, Path: path, Snapshot: snapshot,
@@ -95,24 +101,30 @@
 		}
 	})
 
-	// If an earlier response closes the connection, the client resends the request.
-	It("wait for the earlier responses when they must run once", func() {
+	// If an earlier response closes the connection, the client resends the request: one
+	// that must not run twice may not have started, whatever its method.
+	DescribeTable("wait for the earlier responses when they must run once", func(method, path string) {
 		started := make(chan string, 2)
 		release := make(chan struct{})
 		conn := connectEdge(mesh.EdgeLimits{}, func(_ context.Context, r *port.Request) *port.Response {
-			started <- r.Method
-			if r.Method == http.MethodGet {
+			started <- r.URL.Path
+			if r.URL.Path == "/1" {
 				<-release
 			}
 			return textResponse("x")
 		})
-		_, err := io.WriteString(conn, getRequest("/1")+"POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nb")
+		_, err := io.WriteString(conn, getRequest("/1")+method+" "+path+" HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nb")
 		Expect(err).NotTo(HaveOccurred())
-		Eventually(started, "5s").Should(Receive(Equal("GET")))
+		Eventually(started, "5s").Should(Receive(Equal("/1")))
 		Consistently(started, "100ms").ShouldNot(Receive())
 		close(release)
-		Eventually(started, "5s").Should(Receive(Equal("POST")))
-	})
+		Eventually(started, "5s").Should(Receive(Equal(path)))
+	},
+		Entry("by POST", "POST", "/once/2"),
+		Entry("by GET", "GET", "/once/2"),
+		Entry("by HEAD", "HEAD", "/upload/2"),
+		Entry("by PUT", "PUT", "/upload/2"),
+	)
 
 	It("have their own time of arrival", func() {
 		arrived := make(chan time.Time, 2)
