Keep what a node acknowledged about its server over a restart

Cause: the state of the server was in memory only, so a new process took the first heartbeat to arrive, a late one, for the truth; its own row said that this server was leaving. Change: the row has the start of the server. A restarted node holds announcements of a ready server until it has read its row and ignores those older than the row. A leave is acknowledged when the row says so, the row outlives a SIGTERM while the server still listens, and a write that conflicts keeps 'leaving'. Grace can be begun from other packages, for their specs.

--- a/decision/presence/presence.go
+++ b/decision/presence/presence.go
@@ -2,6 +2,8 @@
 // late, out of order, or from an earlier process at the same address.
 package presence
 
+import "time"
+
 // State is the last known state of the server beside the node.
 type State struct {
 	Instance  string
@@ -10,6 +12,9 @@
 	Leaving   bool // draining or left; permanent until a restart
 }
 
+// unknownSequence is below every sequence that a server sends.
+const unknownSequence = -1
+
 // Announcement holds the fields that decide whether an announcement applies.
 type Announcement struct {
 	Instance  string
@@ -20,6 +25,39 @@
 	LeaveNotice bool
 }
 
+// maxClockStep bounds how far the time of day of a machine may have been set back since
+// a server on it started.
+const maxClockStep = time.Minute
+
+// PlausibleStart reports whether a server can have started at a Unix time in ms. A start
+// in the future would outrank all later ones.
+func PlausibleStart(startedAt int64, now time.Time) bool {
+	return startedAt >= 0 && startedAt <= now.Add(maxClockStep).UnixMilli()
+}
+
+// Restore returns the state after the node has read the row that an earlier process of it
+// wrote. What that process acknowledged binds this one: a server that was leaving stays
+// so, and announcements of earlier servers stay outdated.
+func (s State) Restore(row State) State {
+	switch {
+	case row.Instance == "":
+		return s
+	case s.Instance == "" || row.StartedAt > s.StartedAt && !s.leavesUndated(row):
+		row.Sequence = unknownSequence
+		return row
+	case row.Instance == s.Instance:
+		s.StartedAt = max(s.StartedAt, row.StartedAt)
+		s.Leaving = s.Leaving || row.Leaving
+	}
+	return s
+}
+
+// leavesUndated reports whether a server left by a notice without a start time, which
+// applies to the server with the same id.
+func (s State) leavesUndated(row State) bool {
+	return s.Leaving && s.StartedAt == 0 && s.Instance == row.Instance
+}
+
 // Next returns the state after an announcement, and whether the announcement
 // applies. An outdated one leaves the state unchanged.
 func Next(s State, a Announcement) (State, bool) {
@@ -40,7 +78,7 @@
 // applyLeaveNotice applies a notice that the server leaves. Without a start time, it
 // applies to the server with the same id.
 func (s State) applyLeaveNotice(a Announcement) (State, bool) {
-	if a.StartedAt > s.StartedAt {
+	if s.Instance == "" || a.StartedAt > s.StartedAt {
 		return State{Instance: a.Instance, StartedAt: a.StartedAt, Leaving: true}, true
 	}
 	if a.Instance != s.Instance || (a.StartedAt != 0 && a.StartedAt < s.StartedAt) || s.Leaving {
--- a/kernel/app.go
+++ b/kernel/app.go
@@ -22,7 +22,7 @@
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(settings, logger),
 		fx.Provide(func() metrics.Registry { return metrics.NewRegistry() }),
-		fx.Provide(newInventory, newGrace, newFailures, NewGuard),
+		fx.Provide(newInventory, NewGrace, newFailures, NewGuard),
 		fx.Invoke(runDuties),
 	}
 	for _, p := range Plugins() {
--- a/kernel/duty.go
+++ b/kernel/duty.go
@@ -71,7 +71,7 @@
 			return nil
 		},
 		OnStop: func(stopCtx context.Context) error {
-			in.Grace.begin()
+			in.Grace.Begin()
 			in.Logger.Info().Msg("stop began")
 			in.beforeStop(stopCtx)
 			in.Logger.Info().Dur("after", in.Grace.StoppingFor()).Msg("stop announced")
--- a/kernel/grace.go
+++ b/kernel/grace.go
@@ -16,7 +16,8 @@
 	drains     []func(workCtx context.Context)
 }
 
-func newGrace() *Grace {
+// NewGrace returns a period that has not begun.
+func NewGrace() *Grace {
 	g := &Grace{began: make(chan struct{})}
 	g.workCtx, g.cancelWork = context.WithCancel(context.Background())
 	return g
@@ -49,7 +50,8 @@
 	return time.Since(g.beganAt)
 }
 
-func (g *Grace) begin() {
+// Begin starts the period. The kernel calls it once, at the stop signal.
+func (g *Grace) Begin() {
 	g.beganAt = time.Now()
 	close(g.began)
 }
--- a/mesh/member.go
+++ b/mesh/member.go
@@ -35,6 +35,8 @@
 	Process string          `json:"process" cbor:"5,keyasint"` // differs for each start of the upstream
 	// Instance is the instance id of the upstream; empty: none.
 	Instance string `json:"instance,omitempty" cbor:"6,keyasint,omitempty"`
+	// StartedAt is the Unix time in ms of the upstream's start, as it reports it; 0: unknown.
+	StartedAt int64 `json:"started_at,omitempty" cbor:"7,keyasint,omitempty"`
 }
 
 // Member describes one node and its local upstream, as membership disseminates it.
--- a/plugins/upstreambeats/announce.go
+++ b/plugins/upstreambeats/announce.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
+	"slices"
+	"syscall"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/phuslu/log"
 	"go.uber.org/fx"
 
@@ -13,6 +17,7 @@
 	"teaselring/kernel"
 	"teaselring/mesh"
 	"teaselring/port"
+	"teaselring/result"
 )
 
 type trackerIn struct {
@@ -23,6 +28,7 @@
 	Requests         *port.AnnounceRing
 	RowChanges       rowChanges
 	RowUpdates       *rowUpdateRing
+	Written          *writtenRing
 	Self             *port.SelfRing
 	Local            *port.LocalCell
 	Rows             *port.RowsCell
@@ -31,13 +37,24 @@
 	Logger           *log.Logger
 }
 
+// announceRequest is an announcement whose sender waits for the acknowledgement.
+type announceRequest = kernel.Request[port.Announcement, struct{}]
+
 // tracker is the duty that owns the state of the server beside the node.
 type tracker struct {
 	trackerIn
-	state        presence.State
-	member       mesh.Member
-	client       *http.Client
-	healthChecks int
+	state  presence.State
+	member mesh.Member
+	// identified is set once the server has announced itself to this process or passed
+	// its health check. Until then the state is that of the node's row.
+	identified bool
+	// held is the latest announcement that arrived before the node's row was read.
+	held *port.Announcement
+	// unacknowledged holds the announcements of a leaving server until the row says so.
+	unacknowledged []announceRequest
+	written        mesh.Endpoint // in the row that was written last
+	client         *http.Client
+	healthChecks   int
 }
 
 func newTracker(in trackerIn) kernel.Duty {
@@ -51,7 +68,7 @@
 	}
 	return kernel.Duty{
 		Name: "announce", Owns: "the state of the server beside the node",
-		In: []string{announceRing, rowChangesRing}, Out: []string{selfRing, rowRing}, Run: t.run,
+		In: []string{announceRing, rowChangesRing, writtenRowRing}, Out: []string{selfRing, rowRing}, Run: t.run,
 	}
 }
 
@@ -65,9 +82,11 @@
 		case <-ctx.Done():
 			return nil
 		case request := <-t.Requests.C():
-			t.apply(ctx, &request.Payload)
-			request.Respond(struct{}{})
+			t.handle(ctx, request)
+		case t.written = <-t.Written.C():
+			t.acknowledge()
 		case <-t.RowChanges.ring.C():
+			t.restore(ctx)
 			t.healthCheck(ctx)
 		case <-healthCheck.C:
 			if t.healthCheck(ctx) {
@@ -80,25 +99,121 @@
 	}
 }
 
-// apply applies an announcement. The state is in force before the acknowledgement,
-// so that a leaving server gets no new calls after it.
+// handle applies an announcement and acknowledges it. The state is in force before the
+// acknowledgement, so that a leaving server gets no new calls after it; that a server
+// leaves is also in the node's row, so that a later process of the node knows it.
+func (t *tracker) handle(ctx context.Context, request announceRequest) {
+	n := &request.Payload
+	leaving := n.Draining || n.Final
+	switch {
+	case !leaving && !t.rowKnown():
+		t.hold(n)
+	default:
+		t.apply(ctx, n)
+	}
+	if !leaving || n.Instance != t.state.Instance {
+		request.Respond(struct{}{})
+		return
+	}
+	t.unacknowledged = slices.DeleteFunc(t.unacknowledged, announceRequest.Closed)
+	if len(t.unacknowledged) >= maxUnacknowledged {
+		request.Fail(result.RingFull.Errorf("%d announcements of a leaving server wait for its row", len(t.unacknowledged)))
+		return
+	}
+	t.unacknowledged = append(t.unacknowledged, request)
+	t.acknowledge()
+}
+
+// acknowledge responds to a leaving server once the row says that it leaves.
+func (t *tracker) acknowledge() {
+	if t.written != t.member.Endpoint {
+		if stored, ok := t.ownRow(); !ok || stored.Endpoint != t.member.Endpoint {
+			return
+		}
+	}
+	for _, request := range t.unacknowledged {
+		request.Respond(struct{}{})
+	}
+	t.unacknowledged = nil
+}
+
+// rowKnown reports whether the node knows what an earlier process of it wrote about the
+// server.
+func (t *tracker) rowKnown() bool {
+	return t.PlatformSettings.FirstStart || t.Rows.Load().Listed(port.NodeTable)
+}
+
+// hold keeps an announcement of a ready server until the node's row is read: it may be a
+// late one of a server that has left.
+func (t *tracker) hold(n *port.Announcement) {
+	if t.held == nil || n.StartedAt > t.held.StartedAt || (n.StartedAt == t.held.StartedAt && n.Sequence > t.held.Sequence) {
+		if t.held == nil {
+			t.Logger.Info().Str("instance", n.Instance).Int64("born", n.StartedAt).Int64("sequence", n.Sequence).
+				Msg("announcement held until the row of this node is read")
+		}
+		t.held = n
+	}
+}
+
+// restore applies what an earlier process of the node wrote about the server, and then the
+// announcement that was held.
+func (t *tracker) restore(ctx context.Context) {
+	if !t.rowKnown() {
+		return
+	}
+	if stored, ok := t.ownRow(); ok {
+		t.restoreRow(ctx, &stored.Endpoint)
+	}
+	if n := t.held; n != nil {
+		t.held = nil
+		t.apply(ctx, n)
+	}
+	t.acknowledge()
+}
+
+func (t *tracker) restoreRow(ctx context.Context, stored *mesh.Endpoint) {
+	if stored.Service != t.PlatformSettings.Service || stored.State == mesh.EndpointNone {
+		return
+	}
+	if !presence.PlausibleStart(stored.StartedAt, time.Now()) {
+		t.Logger.Warn().Str("instance", stored.Instance).Int64("born", stored.StartedAt).Msg("row of this node names a start in the future; ignored")
+		return
+	}
+	next := t.state.Restore(presence.State{
+		Instance: stored.Instance, StartedAt: stored.StartedAt, Leaving: stored.State != mesh.EndpointReady,
+	})
+	if next == t.state {
+		return
+	}
+	t.identified = t.identified && next.Instance == t.state.Instance
+	t.state = next
+	t.Logger.Info().Str("instance", next.Instance).Int64("born", next.StartedAt).Bool("leaving", next.Leaving).
+		Msg("server state restored from the row of this node")
+	if next.Leaving && t.member.Endpoint != *stored {
+		t.member.Endpoint = *stored
+		t.member.Sequence++
+		t.publish(ctx)
+	}
+}
+
+// apply applies an announcement.
 func (t *tracker) apply(ctx context.Context, n *port.Announcement) {
 	next, applies := presence.Next(t.state, presence.Announcement{
 		Instance: n.Instance, StartedAt: n.StartedAt, Sequence: n.Sequence, Leaving: n.Draining || n.Final, LeaveNotice: n.Final,
 	})
 	if !applies {
 		t.Logger.Info().Str("instance", n.Instance).Int64("born", n.StartedAt).Int64("sequence", n.Sequence).
-			Str("known", t.state.Instance).Int64("known_born", t.state.StartedAt).Msg("older announcement ignored")
+			Str("known", t.state.Instance).Int64("known_born", t.state.StartedAt).Bool("known_leaving", t.state.Leaving).Msg("older announcement ignored")
 		return
 	}
 	previous := t.member.Endpoint
-	t.state = next
+	t.state, t.identified = next, true
 	e := mesh.Endpoint{
 		Service: n.Service, Version: n.Version, Slots: n.Slots, State: mesh.EndpointReady,
-		Process: fmt.Sprintf("%s/%d", n.Instance, next.StartedAt), Instance: n.Instance,
+		Process: fmt.Sprintf("%s/%d", n.Instance, next.StartedAt), Instance: n.Instance, StartedAt: next.StartedAt,
 	}
 	if n.Final {
-		e.Version, e.Slots = previous.Version, previous.Slots
+		e.Version, e.Slots = t.leavingServer(n.Instance)
 	}
 	if next.Leaving {
 		e.State = mesh.EndpointDraining
@@ -114,6 +229,18 @@
 	t.queueRow(ctx, rowUpdate{Member: t.member})
 }
 
+// leavingServer returns the version and the slots of a server that left by a notice, which
+// has neither.
+func (t *tracker) leavingServer(instance string) (mesh.UpstreamVersion, int) {
+	known := t.member.Endpoint
+	if known.Instance != instance {
+		if stored, ok := t.ownRow(); ok && stored.Endpoint.Instance == instance {
+			known = stored.Endpoint
+		}
+	}
+	return known.Version, max(known.Slots, 1) // a row without slots is refused by its readers
+}
+
 // publish sends the state to the other duties of this node.
 func (t *tracker) publish(ctx context.Context) {
 	if t.member.Endpoint.State != mesh.EndpointNone {
@@ -131,7 +258,7 @@
 // the instance in that row; a leaving server does not report healthy. It reports
 // whether to check again.
 func (t *tracker) healthCheck(ctx context.Context) bool {
-	if t.state.Instance != "" || t.healthChecks >= maxHealthChecks {
+	if t.identified || t.state.Leaving || t.healthChecks >= maxHealthChecks {
 		return false
 	}
 	stored, ok := t.ownRow()
@@ -155,7 +282,7 @@
 	if !healthy {
 		return true
 	}
-	t.state = presence.State{Instance: stored.Endpoint.Instance}
+	t.identified = true
 	t.member.Endpoint = stored.Endpoint
 	t.publish(ctx)
 	t.queueRow(ctx, rowUpdate{Member: t.member})
@@ -170,10 +297,21 @@
 	return m, port.DecodeRow(row.Value, &m) == nil // membership.rows logs the error
 }
 
-// removeRowAtStop removes the node's row if the server is leaving or has not been
-// identified since the node's start: neither is expected to return.
+// removeRowAtStop removes the node's row if the server has ended and is not expected to
+// return: it was leaving, or has not been identified since the node's start. While it
+// still runs, only the node is stopped, and its next process needs the row.
 func (t *tracker) removeRowAtStop(ctx context.Context) {
-	if t.state.Leaving || t.state.Instance == "" {
+	if (t.state.Leaving || !t.identified) && t.serverEnded() {
 		t.queueRow(ctx, rowUpdate{Member: t.member, Remove: true})
 	}
 }
+
+// serverEnded reports whether nothing listens on the server's address.
+func (t *tracker) serverEnded() bool {
+	conn, err := net.DialTimeout("tcp", t.PlatformSettings.Upstream.String(), healthCheckTimeout)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return false
+}
--- a/plugins/upstreambeats/setup.go
+++ b/plugins/upstreambeats/setup.go
@@ -16,6 +16,7 @@
 	announceRing   = "announce.requests"
 	rowChangesRing = "announce.rows"
 	rowRing        = "announce.row"
+	writtenRowRing = "announce.written"
 	selfRing       = "members.self"
 
 	// healthCheckInterval is the time between two health checks of a server that has
@@ -26,6 +27,9 @@
 	// healthCheckTimeout is several times the response time of an idle server.
 	healthCheckTimeout = 200 * time.Millisecond
 
+	// maxUnacknowledged bounds the announcements that wait for the node's row; a server
+	// repeats one a second.
+	maxUnacknowledged = 16
 	// minWriteBackoff and maxWriteBackoff bound the wait before a retry. The platform
 	// requires the row to be back within 2 s of the store's recovery.
 	minWriteBackoff = 100 * time.Millisecond
@@ -45,6 +49,9 @@
 
 type rowUpdateRing = kernel.Ring[rowUpdate]
 
+// writtenRing reports the server in the row that was written last.
+type writtenRing = kernel.Ring[mesh.Endpoint]
+
 func init() {
 	kernel.Register(kernel.Plugin{
 		Name: "upstream.beats",
@@ -56,6 +63,7 @@
 				),
 				kernel.ProvideRing[kernel.Request[port.Announcement, struct{}]](announceRing, 64, kernel.Refuse),
 				kernel.ProvideRing[rowUpdate](rowRing, 1, kernel.ReplaceOldest),
+				kernel.ProvideRing[mesh.Endpoint](writtenRowRing, 1, kernel.ReplaceOldest),
 				port.ProvideRowsSubscriber(rowChangesRing, func(r *kernel.Ring[port.RowsChanged]) rowChanges { return rowChanges{r} }),
 				kernel.ProvideDuty(newTracker),
 				kernel.ProvideDuty(newWriter),
--- a/plugins/upstreambeats/writer.go
+++ b/plugins/upstreambeats/writer.go
@@ -19,6 +19,7 @@
 type writerIn struct {
 	fx.In
 	RowUpdates       *rowUpdateRing
+	Written          *writtenRing
 	Feed             port.Feed
 	Rows             *port.RowsCell
 	PlatformSettings *port.PlatformSettings
@@ -35,7 +36,7 @@
 func newWriter(in writerIn) kernel.Duty {
 	w := &writer{writerIn: in}
 	return kernel.Duty{
-		Name: "self-writer", Owns: "the node's row in the store", In: []string{rowRing}, Run: w.run,
+		Name: "self-writer", Owns: "the node's row in the store", In: []string{rowRing}, Out: []string{writtenRowRing}, Run: w.run,
 	}
 }
 
@@ -126,6 +127,7 @@
 		for _, row := range changes.Rows {
 			if row.Key == key {
 				w.revision = row.Revision
+				w.keepLeaving(update, row.Value)
 			}
 		}
 		return err
@@ -137,7 +139,22 @@
 	if update.Remove {
 		w.revision = 0
 	}
+	_ = w.Written.Send(ctx, update.Member.Endpoint) // replaces the oldest, never fails
 	w.Logger.Info().Str("node", string(update.Member.Node)).Bool("gone", update.Remove).
 		Str("instance", update.Member.Endpoint.Instance).Uint64("revision", changes.Revision).Msg("row of this node written")
 	return nil
 }
+
+// keepLeaving makes an update say that the server leaves if the row in the store does: an
+// earlier process of the node wrote it, and this one has not read it yet.
+func (w *writer) keepLeaving(update *rowUpdate, value []byte) {
+	var stored mesh.Member
+	if port.DecodeRow(value, &stored) != nil {
+		return // the update replaces a row that can't be read
+	}
+	e := &update.Member.Endpoint
+	if stored.Endpoint.Process == e.Process && stored.Endpoint.State == mesh.EndpointDraining && e.State == mesh.EndpointReady {
+		e.State = mesh.EndpointDraining
+		w.Logger.Info().Str("instance", e.Instance).Msg("row says that the server leaves")
+	}
+}
--- a/test/sidecar/mesh.go
+++ b/test/sidecar/mesh.go
@@ -184,6 +184,9 @@
 // String returns the name of the machine.
 func (m *Machine) String() string { return m.name }
 
+func (m *Machine) kill()      { m.Kill() }
+func (m *Machine) terminate() { m.Stop() }
+
 // Ready returns an error unless the machine is ready, so that the platform would
 // send clients to it.
 func (m *Machine) Ready() error {
--- a/test/sidecar/server.go
+++ b/test/sidecar/server.go
@@ -171,21 +171,48 @@
 
 func (s *Server) sendHeartbeat(control string) {
 	state := s.state.Load().(string)
-	body, err := json.Marshal(map[string]any{
+	if s.SendAnnouncement(control, s.Heartbeat()) && state == "draining" {
+		s.drainAckedAt.CompareAndSwap(0, time.Now().UnixMilli())
+	}
+}
+
+// Announcement is a message of a server to its node.
+type Announcement struct {
+	path string
+	body []byte
+}
+
+// Heartbeat returns the server's next heartbeat.
+func (s *Server) Heartbeat() Announcement {
+	return s.announcement("heartbeat", map[string]any{
 		"Address":     s.Listener.Addr().String(),
 		"Information": map[string]any{"Service": Service, "Version": s.version.Load(), "Zone": s.zone, "Slots": 8},
-		"Status":      map[string]any{"State": state, "Sequence": s.sequence.Add(1), "ColdRemainingS": 0},
+		"Status":      map[string]any{"State": s.state.Load(), "Sequence": s.sequence.Add(1), "ColdRemainingS": 0},
 		"born":        s.startedAt.Load(),
 	})
+}
+
+// Leave stops the heartbeats and returns the notice that the server leaves.
+func (s *Server) Leave() Announcement {
+	s.heartbeatsPaused.Store(true)
+	return s.announcement("leave", map[string]any{"born": s.startedAt.Load()})
+}
+
+func (s *Server) announcement(kind string, content map[string]any) Announcement {
+	body, err := json.Marshal(content)
 	if err != nil {
 		panic(err)
 	}
-	response, err := http.Post("http://"+control+"/instances/"+s.ID()+"/heartbeat", "application/json", bytes.NewReader(body))
+	return Announcement{path: "/instances/" + s.ID() + "/" + kind, body: body}
+}
+
+// SendAnnouncement sends an announcement and reports whether it was acknowledged. While
+// the node is down, it is not; the next heartbeat retries.
+func (s *Server) SendAnnouncement(control string, a Announcement) bool {
+	response, err := http.Post("http://"+control+a.path, "application/json", bytes.NewReader(a.body))
 	if err != nil {
-		return // the node is down; the next heartbeat retries
+		return false
 	}
 	_ = response.Body.Close()
-	if state == "draining" && response.StatusCode == http.StatusOK {
-		s.drainAckedAt.CompareAndSwap(0, time.Now().UnixMilli())
-	}
+	return response.StatusCode == http.StatusOK
 }
--- a/test/sidecar/sidecar_test.go
+++ b/test/sidecar/sidecar_test.go
@@ -140,6 +140,42 @@
 		Expect(draining.Server.runCount.Load()).To(Equal(runCount))
 	})
 
+	// A heartbeat that arrived late made the new process announce the server as ready
+	// (review/3). The previous process may have been stopped, and the store may be away.
+	DescribeTable("send nothing to a server that left, after a restart of its node and a late heartbeat,",
+		func(stop func(*Machine), storeAway bool) {
+			leaving, server := m.Machines[1], m.Machines[1].Server
+			late := server.Heartbeat()
+			Expect(server.SendAnnouncement(leaving.Address.Control, server.Leave())).To(BeTrue())
+			acknowledged := time.Now()
+			stop(leaving)
+			if storeAway {
+				m.Store.Refuse("", http.StatusServiceUnavailable)
+			}
+			leaving.Restart()
+			h.WaitUntil("the late heartbeat to arrive", func() error {
+				if !server.SendAnnouncement(leaving.Address.Control, late) {
+					return errors.New("not acknowledged")
+				}
+				return nil
+			})
+			m.Store.Refuse("", 0)
+			h.WaitUntil("the node to be ready again", leaving.Ready)
+			time.Sleep(time.Until(acknowledged.Add(2 * time.Second))) // the platform's bound
+			runCount := server.runCount.Load()
+			for end := time.Now().Add(2 * time.Second); time.Now().Before(end); {
+				for _, machine := range m.Machines {
+					Expect(servesPath(machine, "/read/")()).To(Succeed())
+				}
+			}
+			Expect(server.runCount.Load()).To(Equal(runCount))
+		},
+		Entry("by SIGKILL", (*Machine).kill, false),
+		Entry("by SIGTERM", (*Machine).terminate, false),
+		Entry("by SIGKILL, with the store away", (*Machine).kill, true),
+		Entry("by SIGTERM, with the store away", (*Machine).terminate, true),
+	)
+
 	It("find a server again after a restart of its node", func() {
 		m.Machines[1].Restart()
 		h.WaitUntil("the node to be ready again", m.Machines[1].Ready)
