Keep the source of rows until a better one has responded

Cause: a node stopped reading the store, or left the node that it followed, before the next source had answered, and tried each lost machine in turn; their pauses ended together. Change: the source stays in use while a duty of its own probes the candidates, one at a time, those that were not tried first. A node without a source reads the store after one more candidate has not responded. The client, the serving side and the probe have files of their own. Evidence: the spec of storereplica fails with the old choice; a replay of the loss at 3, 18 and 50 machines of a zone passes.

--- a/decision/replica/backoff.go
+++ b/decision/replica/backoff.go
@@ -39,6 +39,9 @@
 	return backoffState{incarnation: m.Incarnation}
 }
 
+// failures returns the number of consecutive requests to a node without a response.
+func (p *PeerBackoff) failures(m *mesh.Member) int { return p.get(m).failures }
+
 // RecordNoResponse records that an incarnation of a node did not respond.
 func (p *PeerBackoff) RecordNoResponse(m *mesh.Member, now time.Time) {
 	e := p.get(m)
--- a/decision/replica/source_test.go
+++ b/decision/replica/source_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -19,8 +20,20 @@
 	zone := func(name string) (ranked []*mesh.Member) {
 		return view.RankByHash("", func(m *mesh.Member) bool { return string(m.Zone) == name })
 	}
+	// source returns the choice of a node whose probes are all answered by nodes that are
+	// connected to the store.
 	source := func(self *mesh.Member, p *PeerBackoff) SourceChoice {
-		return Source(view, mesh.Identity{Node: self.Node, Zone: self.Zone}, p, now)
+		GinkgoHelper()
+		var current CurrentSource
+		for range view.Members {
+			choice := Source(view, mesh.Identity{Node: self.Node, Zone: self.Zone}, current, p, now)
+			if choice.Probe == nil {
+				return choice
+			}
+			current = CurrentSource{Peer: choice.Probe.Node}
+		}
+		Fail("the choice does not settle")
+		return SourceChoice{}
 	}
 
 	It("is the first of its zone, which reads the store", func() {
@@ -89,3 +102,129 @@
 		Expect(p.Unresponsive(&m, now.Add(4*time.Second))).To(BeFalse())
 	})
 })
+
+// follower is a node of a zone some of whose machines are lost for good at the time 0,
+// without a trace: their rows stay and their addresses don't respond. All other nodes are
+// connected to the store.
+type follower struct {
+	view    *mesh.View
+	self    mesh.Identity
+	lost    map[mesh.NodeID]bool
+	backoff *PeerBackoff
+	current CurrentSource
+	now     time.Time
+	probe   *mesh.Member // that has no response yet
+	probed  time.Time    // when it gets one, or the node gives up
+	sourced time.Time    // when the node last had a source
+
+	longestGap time.Duration // without a source
+	reads      time.Duration // from the store
+}
+
+const (
+	// detectionTime is the time until a request to a followed node that was lost ends.
+	detectionTime = 1400 * time.Millisecond
+	// connectTime is the time until a connection to a lost machine is given up.
+	connectTime = 250 * time.Millisecond
+	step        = 50 * time.Millisecond
+)
+
+func (f *follower) advance() {
+	f.now = f.now.Add(step)
+	if f.probe != nil && !f.now.Before(f.probed) {
+		if f.lost[f.probe.Node] {
+			f.backoff.RecordNoResponse(f.probe, f.now)
+			f.current.Failures++
+		} else {
+			f.backoff.RecordConnected(f.probe)
+			f.current.Peer = f.probe.Node
+		}
+		f.probe = nil
+	}
+	choice := Source(f.view, f.self, f.current, f.backoff, f.now)
+	f.current.Store = choice.ReadStore
+	if choice.Peer == nil {
+		f.current.Peer = ""
+	}
+	if choice.ReadStore || choice.Peer != nil {
+		f.current.Failures = 0
+	}
+	if choice.Probe != nil && f.probe == nil {
+		f.probe, f.probed = choice.Probe, f.now.Add(step)
+		if f.lost[f.probe.Node] {
+			f.probed = f.now.Add(connectTime)
+		}
+	}
+	if f.current.Store {
+		f.reads += step
+	}
+	if f.current.Store || (f.current.Peer != "" && !f.lost[f.current.Peer]) {
+		f.sourced = f.now
+	}
+	f.longestGap = max(f.longestGap, f.now.Sub(f.sourced))
+}
+
+// lose ends the following of a lost machine after the time that it takes to notice.
+func (f *follower) lose() {
+	for end := f.now.Add(detectionTime); f.lost[f.current.Peer] && f.now.Before(end); {
+		f.now = f.now.Add(step)
+	}
+	f.longestGap = f.now.Sub(f.sourced)
+	if f.lost[f.current.Peer] {
+		f.backoff.RecordNoResponse(f.view.Member(f.current.Peer), f.now)
+		f.current.Peer = ""
+	}
+}
+
+// A node stopped reading the store to try lost machines one after the other, and again
+// when their pauses, which began together, were over (review/5).
+var _ = DescribeTable("after a loss of machines of a zone, of",
+	func(machines, lostCount int, first bool) {
+		const configBound = 2 * time.Second // the smallest of the deployments
+		view := &mesh.View{}
+		for i := range machines {
+			view.Members = append(view.Members, mesh.Member{Node: mesh.NodeID(fmt.Sprintf("m%03d", i)), Zone: "z", Incarnation: 1})
+		}
+		ranked := view.RankByHash("", func(*mesh.Member) bool { return true })
+		lost, survivors := ranked[:lostCount], ranked[lostCount:]
+		if !first {
+			lost, survivors = ranked[machines-lostCount:], ranked[:machines-lostCount]
+		}
+		isLost := map[mesh.NodeID]bool{}
+		for _, m := range lost {
+			isLost[m.Node] = true
+		}
+		for i, m := range survivors {
+			begin := time.Unix(1000, 0)
+			f := &follower{view: view, self: mesh.Identity{Node: m.Node, Zone: "z"}, backoff: NewPeerBackoff(), now: begin, sourced: begin}
+			for range 20 { // before the loss
+				f.advance()
+			}
+			f.lost = isLost
+			f.lose()
+			for f.now.Before(begin.Add(3 * time.Second)) {
+				f.advance()
+			}
+			Expect(f.longestGap).To(BeNumerically("<", configBound), "%s has no source", m.Node)
+			f.longestGap, f.reads = 0, 0
+			settled := f.now
+			for f.now.Before(begin.Add(3 * time.Minute)) {
+				f.advance()
+			}
+			Expect(f.longestGap).To(BeZero(), "%s loses its source to a probe", m.Node)
+			searched := time.Duration(lostCount) * connectTime // at most, by nodes that read the store meanwhile
+			if i == 0 {
+				Expect(f.reads).To(BeNumerically("~", f.now.Sub(settled), step), "the first survivor reads the store")
+			} else {
+				Expect(f.reads).To(BeNumerically("<=", searched), "%s reads the store", m.Node)
+			}
+		}
+	},
+	Entry("3 machines, the first", 3, 1, true),
+	Entry("3 machines, the first two", 3, 2, true),
+	Entry("18 machines, the first 16", 18, 16, true),
+	Entry("18 machines, the last 16", 18, 16, false),
+	Entry("18 machines, all but the last", 18, 17, true),
+	Entry("50 machines, the first half", 50, 25, true),
+	Entry("50 machines, all but the last two", 50, 48, true),
+)
--- a/plugins/storereplica/setup.go
+++ b/plugins/storereplica/setup.go
@@ -12,6 +12,7 @@
 
 	"teaselring/decision/replica"
 	"teaselring/kernel"
+	"teaselring/mesh"
 	"teaselring/port"
 )
 
@@ -19,6 +20,9 @@
 	rowsRing = "replica.rows"
 	hintRing = "replica.hints"
 
+	probeRingName  = "replica.probes"
+	probedRingName = "replica.probed"
+
 	// maxPoll is the longest long poll of the operator's table and of another node.
 	// A node detects within this time, plus the timeout of the response, that the
 	// node which it follows is frozen or has silently lost the store; the platform
@@ -62,6 +66,8 @@
 			return fx.Options(
 				kernel.ProvideRing[batch](rowsRing, 64, kernel.WaitUntilDeadline),
 				kernel.ProvideRing[port.RowsHint](hintRing, 8, kernel.ReplaceOldest),
+				kernel.ProvideRing[*mesh.Member](probeRingName, 1, kernel.Refuse),
+				kernel.ProvideRing[probed](probedRingName, 1, kernel.WaitUntilDeadline),
 				fx.Provide(
 					func() *port.RowsCell { c := new(port.RowsCell); c.Store(replica.New()); return c },
 					func() *port.ClockCell { return new(port.ClockCell) },
@@ -80,7 +86,9 @@
 					w.listEarly, w.first = true, firstListingDelay(in.PlatformSettings)
 					return w.duty("node-watch")
 				}),
+				fx.Provide(newRowsClient),
 				kernel.ProvideDuty(newSync),
+				kernel.ProvideDuty(newProbe),
 				port.ProvideReadyCheck(func(rows *port.RowsCell, operator port.OperatorTable) port.ReadyCheck {
 					return port.ReadyCheck{Name: "rows", Check: func() error { return checkListed(rows, operator) }}
 				}),
--- a/plugins/storereplica/source.go
+++ b/plugins/storereplica/source.go
@@ -63,7 +63,9 @@
 	if s.readStore.Swap(readStore) == readStore {
 		return
 	}
-	s.lastContact.Store(nil)
+	if readStore {
+		s.lastContact.Store(nil)
+	}
 	s.readStoreChanged.fire()
 }
 
--- a/plugins/storereplica/storereplica_test.go
+++ b/plugins/storereplica/storereplica_test.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -217,9 +220,10 @@
 				Identity: mesh.Identity{Node: "c", Zone: "z"}, Rows: new(port.RowsCell), Source: newSource("op"),
 				Out: kernel.NewRing[batch]("out", 4, kernel.ReplaceOldest), Logger: kernel.NewLogger(io.Discard),
 			},
-			client: http.DefaultClient, backoff: replica.NewPeerBackoff(),
+			backoff: replica.NewPeerBackoff(),
 		}
 		follower.Rows.Store(replica.New())
+		follower.Client = newRowsClient(follower.Rows)
 		former := &mesh.Member{Node: "a", Zone: "z", Incarnation: 1, PeerAddress: server.Listener.Addr().String()}
 		follower.follow(context.Background(), former)
 		Expect(follower.backoff.Unresponsive(former, time.Now())).To(BeTrue())
@@ -246,6 +250,55 @@
 	})
 })
 
+// silentNode accepts connections and never responds, as the address of a lost machine.
+func silentNode(name string) mesh.Member {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	return mesh.Member{Node: mesh.NodeID(name), Zone: "z", Incarnation: 1, PeerAddress: listener.Addr().String()}
+}
+
+// startSync runs the duties that select the source of a node until the spec ends.
+func startSync(self mesh.Identity, members []mesh.Member) *source {
+	rows, view, src := new(port.RowsCell), new(port.ViewCell), newSource("op")
+	rows.Store(replica.New().ApplyListing(port.NodeTable, nil, 1))
+	view.Store(&mesh.View{Self: self.Node, Members: members, Revision: 1})
+	probes, probed := kernel.NewRing[*mesh.Member]("probes", 1, kernel.Refuse), kernel.NewRing[probed]("probed", 1, kernel.WaitUntilDeadline)
+	ctx, cancel := context.WithCancel(context.Background())
+	var ended sync.WaitGroup
+	DeferCleanup(func() { cancel(); ended.Wait() })
+	for _, d := range []kernel.Duty{
+		newSync(syncIn{
+			Identity: self, Hints: kernel.NewRing[port.RowsHint]("hints", 1, kernel.ReplaceOldest), Probes: probes, Probed: probed,
+			Out: kernel.NewRing[batch]("out", 4, kernel.ReplaceOldest), Rows: rows, View: view, Source: src, Client: newRowsClient(rows), Logger: kernel.NewLogger(io.Discard),
+		}),
+		newProbe(probeIn{Probes: probes, Probed: probed, Client: newRowsClient(rows)}),
+	} {
+		ended.Go(func() { _ = d.Run(ctx) })
+	}
+	return src
+}
+
+// A node stopped reading the store whenever the pause of a lost machine before it in the
+// order was over, and tried all lost machines in turn without a source (review/5).
+var _ = Describe("a node behind lost machines in the order of its zone", func() {
+	It("reads the store after the first does not respond, and keeps reading it", func() {
+		self := mesh.Identity{Node: "self", Zone: "z"}
+		members := []mesh.Member{{Node: self.Node, Zone: "z"}}
+		view := mesh.View{Members: members}
+		for i := 0; len(view.Members) < 5; i++ { // four that rank before it
+			candidate := silentNode(fmt.Sprintf("lost%d", i))
+			pair := mesh.View{Members: []mesh.Member{members[0], candidate}}
+			if pair.RankByHash("", func(*mesh.Member) bool { return true })[0].Node == candidate.Node {
+				view.Members = append(view.Members, candidate)
+			}
+		}
+		src := startSync(self, view.Members)
+		Eventually(src.readStore.Load, "5s").Should(BeTrue())
+		Consistently(src.readStore.Load, "5s", "5ms").Should(BeTrue(), "their pauses of 3 s are over meanwhile")
+	})
+})
+
 var _ = Describe("rows between nodes", func() {
 	It("survive encoding", func() {
 		body, err := encodeRows(&rowsResponse{Rows: []replica.Row{row("a", 3)}, Listed: []string{"op"}, Clock: time.Second})
--- a/plugins/storereplica/sync.go
+++ b/plugins/storereplica/sync.go
@@ -1,17 +1,9 @@
 package storereplica
 
 import (
-	"bytes"
-	"compress/flate"
 	"context"
-	"io"
-	"net"
-	"net/http"
-	"strconv"
-	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/phuslu/log"
 	"go.uber.org/fx"
 
@@ -48,23 +40,17 @@
 	connectTimeout = 250 * time.Millisecond
 )
 
-// rowsResponse is the response to another node's request for rows.
-type rowsResponse struct {
-	Rows    []replica.Row `cbor:"1,keyasint"`
-	Listed  []string      `cbor:"2,keyasint"` // tables that the sender has listed
-	Current bool          `cbor:"3,keyasint"` // the sender is connected to the store, directly or through other nodes
-	Clock   time.Duration `cbor:"4,keyasint"` // of the store; 0: unknown
-	Node    mesh.NodeID   `cbor:"5,keyasint"` // the sender
-}
-
 type syncIn struct {
 	fx.In
 	Identity mesh.Identity
 	Hints    *port.RowsHintRing
+	Probes   *probeRing
+	Probed   *probedRing
 	Out      *batchRing
 	Rows     *port.RowsCell
 	View     *port.ViewCell
 	Source   *source
+	Client   *rowsClient
 	Logger   *log.Logger
 }
 
@@ -72,47 +58,57 @@
 // that is the source, and fetches rows from nodes that are ahead.
 type peerSync struct {
 	syncIn
-	client  *http.Client
 	backoff *replica.PeerBackoff
-	// following is the node of the last request; empty: none.
-	following mesh.NodeID
+	current replica.CurrentSource
+	probing bool // a probe has no result yet
 }
 
 func newSync(in syncIn) kernel.Duty {
-	s := &peerSync{
-		syncIn: in, backoff: replica.NewPeerBackoff(), client: &http.Client{Transport: &http.Transport{
-			DialContext:     (&net.Dialer{Timeout: connectTimeout}).DialContext,
-			IdleConnTimeout: 5 * time.Second, DisableCompression: true,
-		}},
-	}
+	s := &peerSync{syncIn: in, backoff: replica.NewPeerBackoff()}
 	return kernel.Duty{
-		Name: "peer-sync", Owns: "the source of the rows and the backoff of other nodes", In: []string{hintRing}, Out: []string{rowsRing}, Run: s.run,
+		Name: "peer-sync", Owns: "the source of the rows and the backoff of other nodes",
+		In: []string{hintRing, probedRingName}, Out: []string{rowsRing, probeRingName}, Run: s.run,
 	}
 }
 
 func (s *peerSync) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if !s.hasNodeView() {
-			s.awaitHint(ctx, viewPollInterval)
+			s.await(ctx, viewPollInterval)
 			continue
 		}
-		choice := replica.Source(s.View.Load(), s.Identity, s.backoff, time.Now())
-		s.Source.setReadStore(choice.ReadStore)
-		if choice.Peer == nil {
-			s.following = ""
-		}
-		switch {
-		case choice.ReadStore:
-			s.awaitHint(ctx, maxPoll)
-		case choice.Peer == nil:
-			s.awaitHint(ctx, storeLostRetryDelay)
-		default:
+		s.takeProbed(ctx)
+		switch choice := s.choose(ctx); {
+		case choice.Peer != nil:
 			s.follow(ctx, choice.Peer)
+		case choice.ReadStore, choice.Probe != nil:
+			s.await(ctx, maxPoll)
+		default:
+			s.await(ctx, storeLostRetryDelay)
 		}
 	}
 	return nil
 }
 
+// choose selects the source, and probes the node that may become the next one.
+func (s *peerSync) choose(ctx context.Context) replica.SourceChoice {
+	now := time.Now()
+	s.current.StoreLost = !s.Source.current(now)
+	choice := replica.Source(s.View.Load(), s.Identity, s.current, s.backoff, now)
+	s.Source.setReadStore(choice.ReadStore)
+	s.current.Store = choice.ReadStore
+	if choice.Peer == nil {
+		s.current.Peer = ""
+	}
+	if choice.ReadStore || choice.Peer != nil {
+		s.current.Failures = 0
+	}
+	if choice.Probe != nil && !s.probing {
+		s.probing = s.Probes.Send(ctx, choice.Probe) == nil
+	}
+	return choice
+}
+
 // hasNodeView reports whether the nodes' table was listed and the view contains
 // all its nodes.
 func (s *peerSync) hasNodeView() bool {
@@ -120,19 +116,30 @@
 	return set.Listed(port.NodeTable) && port.ViewCoversRows(s.View.Load(), set)
 }
 
-// awaitHint handles one hint or returns after wait, so that the source is selected
-// again. It is used while the node follows no other.
-func (s *peerSync) awaitHint(ctx context.Context, wait time.Duration) {
+// await handles one hint or one result of a probe or returns after wait, so that the
+// source is selected again. It is used while the node follows no other.
+func (s *peerSync) await(ctx context.Context, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case hint := <-s.Hints.C():
 		s.handleHint(ctx, &hint)
+	case result := <-s.Probed.C():
+		s.handleProbed(ctx, &result)
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 }
 
+// takeProbed handles the result of a probe if there is one.
+func (s *peerSync) takeProbed(ctx context.Context) {
+	select {
+	case result := <-s.Probed.C():
+		s.handleProbed(ctx, &result)
+	default:
+	}
+}
+
 // handleHint fetches rows from a node that is ahead, unless this node's own poll
 // returns them within hintDelay.
 func (s *peerSync) handleHint(ctx context.Context, hint *port.RowsHint) {
@@ -143,46 +150,56 @@
 	if !s.Rows.Load().Seen().Behind(hint.Seen) {
 		return
 	}
-	if newer, err := s.fetchRows(ctx, hint.Peer, 0); err != nil {
+	if newer, err := s.Client.fetch(ctx, hint.Peer, 0); err != nil {
 		s.Logger.Warn().Str("peer", hint.Peer).Err(err).Msg("rows of another node not fetched")
 	} else {
 		s.submitRows(ctx, hint.Peer, newer)
 	}
 }
 
+// handleProbed makes a node that responded and is connected to the store the source.
+func (s *peerSync) handleProbed(ctx context.Context, p *probed) {
+	s.probing = false
+	if err := s.record(ctx, p.member, p.newer, p.err); err != nil {
+		if result.Of(err) != result.PlatformDown {
+			s.current.Failures++
+		}
+		s.Logger.Info().Str("node", string(p.member.Node)).Err(err).Msg("node not taken as the source of rows")
+		return
+	}
+	s.current.Peer = p.member.Node
+	s.Logger.Info().Str("node", string(p.member.Node)).Msg("node taken as the source of rows")
+}
+
 // follow long-polls a node for newer rows. A node that does not respond in time or
 // has lost the store is skipped for its backoff.
 func (s *peerSync) follow(ctx context.Context, m *mesh.Member) {
-	wait := maxPoll
-	if s.following != m.Node {
-		// The first request does not wait: its response shows whether the node is
-		// connected to the store, and others may follow this node.
-		s.following, wait = m.Node, 0
+	newer, err := s.Client.fetchFrom(ctx, m, maxPoll)
+	if err = s.record(ctx, m, newer, err); err == nil || ctx.Err() != nil {
+		return
 	}
-	newer, err := s.fetchRows(ctx, m.PeerAddress, wait)
-	if err == nil && newer.Node != m.Node {
-		// Addresses of removed machines are reused. Two nodes that each mistook the
-		// other for an earlier node in the order reported each other as connected.
-		err = result.WrongIncarnation.Errorf("node %q has the address %s", newer.Node, m.PeerAddress)
+	s.current.Peer, s.current.Failures = "", 0
+	s.Source.recordLoss()
+	s.Logger.Warn().Str("node", string(m.Node)).Err(err).Msg("node no longer followed")
+}
+
+// record applies a node's response and returns an error if the node can't be the source:
+// it did not respond, or has lost the store (result.PlatformDown).
+func (s *peerSync) record(ctx context.Context, m *mesh.Member, newer *rowsResponse, err error) error {
+	if err != nil {
+		s.backoff.RecordNoResponse(m, time.Now())
+		return err
 	}
-	if err == nil {
-		s.submitRows(ctx, m.PeerAddress, newer)
-		if newer.Current {
-			s.backoff.RecordConnected(m)
-			if m.Zone == s.Identity.Zone { // not across zones: two zones could follow each other in a circle
-				s.Source.recordContact()
-			}
-			return
-		}
+	s.submitRows(ctx, m.PeerAddress, newer)
+	if !newer.Current {
 		s.backoff.RecordStoreLost(m, time.Now())
-		err = result.PlatformDown.Errorf("the node has lost the store")
-	} else {
-		s.backoff.RecordNoResponse(m, time.Now())
+		return result.PlatformDown.Errorf("the node has lost the store")
 	}
-	if ctx.Err() == nil {
-		s.Source.recordLoss()
-		s.Logger.Warn().Str("node", string(m.Node)).Err(err).Msg("node no longer followed")
+	s.backoff.RecordConnected(m)
+	if m.Zone == s.Identity.Zone { // not across zones: two zones could follow each other in a circle
+		s.Source.recordContact()
 	}
+	return nil
 }
 
 func (s *peerSync) submitRows(ctx context.Context, peer string, newer *rowsResponse) {
@@ -196,142 +213,3 @@
 	case <-ctx.Done():
 	}
 }
-
-func (s *peerSync) fetchRows(ctx context.Context, peer string, wait time.Duration) (*rowsResponse, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer+rowsPath, nil)
-	if err != nil {
-		return nil, err
-	}
-	request.Header.Set(port.SeenHeader, port.FormatSeen(s.Rows.Load().Seen()))
-	request.Header.Set(waitHeader, strconv.FormatInt(wait.Milliseconds(), 10))
-	deadline := time.AfterFunc(wait+responseTimeout, cancel)
-	defer func() { deadline.Stop() }()
-	response, err := s.client.Do(request)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = response.Body.Close() }()
-	if deadline.Stop() {
-		deadline = time.AfterFunc(bodyTimeout, cancel)
-	}
-	return decodeRows(response.Body)
-}
-
-// encodeRows encodes and compresses a response. A configuration shrinks to about an
-// eighth, which matters when one node on a slow link serves all others of its zone.
-func encodeRows(response *rowsResponse) ([]byte, error) {
-	var out bytes.Buffer
-	compressor, err := flate.NewWriter(&out, flate.BestSpeed)
-	if err != nil {
-		return nil, err
-	}
-	if err := cbor.NewEncoder(compressor).Encode(response); err != nil {
-		return nil, err
-	}
-	if err := compressor.Close(); err != nil {
-		return nil, err
-	}
-	return out.Bytes(), nil
-}
-
-func decodeRows(in io.Reader) (*rowsResponse, error) {
-	body, err := io.ReadAll(io.LimitReader(flate.NewReader(in), maxResponseBytes))
-	if err != nil {
-		return nil, err
-	}
-	var newer rowsResponse
-	return &newer, cbor.Unmarshal(body, &newer)
-}
-
-// inbound serves rows to other nodes.
-type inbound struct {
-	node         mesh.NodeID
-	rows         *port.RowsCell
-	clock        *port.ClockCell
-	source       *source
-	lastResponse atomic.Pointer[cachedResponse]
-}
-
-// cachedResponse is the last encoded response. The nodes of a zone request the same
-// rows.
-type cachedResponse struct {
-	set     *replica.Set
-	seen    string
-	current bool
-	at      time.Time
-	body    []byte
-}
-
-// responseCacheTTL is how long a response is reused; it contains the store's clock.
-const responseCacheTTL = 200 * time.Millisecond
-
-func newInboundRoute(identity mesh.Identity, rows *port.RowsCell, clock *port.ClockCell, src *source) port.InboundRoute {
-	return port.InboundRoute{Path: rowsPath, Handler: &inbound{node: identity.Node, rows: rows, clock: clock, source: src}}
-}
-
-// ServeHTTP handles one request for rows.
-func (i *inbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	text := r.Header.Get(port.SeenHeader)
-	seen := port.ParseSeen(text)
-	wait, _ := strconv.ParseInt(r.Header.Get(waitHeader), 10, 64) // none: no wait
-	set := awaitNewerRows(r.Context(), i.rows, i.source, seen, min(time.Duration(wait)*time.Millisecond, maxPoll))
-	body, err := i.encode(set, text, seen)
-	if err != nil {
-		port.Refuse(w, err)
-		return
-	}
-	_, _ = w.Write(body)
-}
-
-func (i *inbound) encode(set *replica.Set, text string, seen replica.Seen) ([]byte, error) {
-	now := time.Now()
-	current := i.source.current(now)
-	if e := i.lastResponse.Load(); e != nil && e.set == set && e.seen == text && e.current == current && now.Sub(e.at) < responseCacheTTL {
-		return e.body, nil
-	}
-	response := &rowsResponse{Rows: set.RowsNewerThan(seen), Current: current, Node: i.node}
-	if c := i.clock.Load(); c != nil {
-		response.Clock = c.Now(now)
-	}
-	for _, table := range []string{i.source.operator, port.NodeTable} {
-		if set.Listed(table) {
-			response.Listed = append(response.Listed, table)
-		}
-	}
-	body, err := encodeRows(response)
-	if err == nil {
-		i.lastResponse.Store(&cachedResponse{set: set, seen: text, current: current, at: now, body: body})
-	}
-	return body, err
-}
-
-// awaitNewerRows returns the rows once they are newer than seen, the store is lost or
-// the wait is over. A node that has just begun to read the store waits up to
-// firstContactTimeout for its first response, since all nodes of the zone send it
-// requests at that moment. A starting node that has not yet selected its source
-// keeps requests waiting too, so that it is not skipped.
-func awaitNewerRows(ctx context.Context, rows *port.RowsCell, src *source, seen replica.Seen, wait time.Duration) *replica.Set {
-	deadline, contactDeadline := time.Now().Add(wait), time.Now().Add(min(wait, firstContactTimeout))
-	for {
-		next := src.changed.wait()
-		set, now := rows.Load(), time.Now()
-		endsAt := deadline
-		if src.decided.Load() && !src.current(now) {
-			endsAt = contactDeadline
-		}
-		if seen.Behind(set.Seen()) || !now.Before(endsAt) {
-			return set
-		}
-		timer := time.NewTimer(endsAt.Sub(now))
-		select {
-		case <-next:
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-			return set
-		}
-		timer.Stop()
-	}
-}
