Believe no response without the id of the request

Cause: the id was asked of successes only. A refusal without an id, which a faulty server wrote once more on a kept connection, was taken for the answer of the request that waited.

--- a/plugins/callrelay/owner.go
+++ b/plugins/callrelay/owner.go
@@ -153,8 +153,13 @@
 
 // checkResponse checks that a server's response is valid. The error's code
 // distinguishes a declared refusal (not run) from an invalid response (may have run).
+// Only the request's id proves that a response, and so a refusal, belongs to the request:
+// a faulty server may write an earlier one again.
 func (o *owner) checkResponse(response *port.Response, id string) error {
 	h := response.Header
+	if h.Get(o.Headers.RequestID) != id {
+		return result.UpstreamLost.Errorf("response %d without the id of the request", response.Status)
+	}
 	if h.Get(o.Headers.NotRun) != "" {
 		load := "no load"
 		if l := o.Headers.ReadLoad(h); l != nil {
@@ -166,8 +171,8 @@
 	switch {
 	case response.Status == http.StatusMisdirectedRequest:
 		return result.Draining.Errorf("another server has the address: %s", h.Get(o.Headers.Instance))
-	case success && (h.Get(o.Headers.Signature) == "" || h.Get(o.Headers.RequestID) != id):
-		return result.UpstreamLost.Errorf("response %d without signature or request id", response.Status)
+	case success && h.Get(o.Headers.Signature) == "":
+		return result.UpstreamLost.Errorf("response %d without signature", response.Status)
 	case h.Get("Content-Encoding") != "":
 		return result.UpstreamLost.Errorf("response %d with a content encoding", response.Status)
 	case impliesNotRun(response.Status):
--- a/test/sidecar/server.go
+++ b/test/sidecar/server.go
@@ -65,6 +65,7 @@
 		}
 		return
 	}
+	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
 	if expected := r.Header.Get("Expected-Instance"); expected != "" && expected != s.ID() {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -81,7 +82,6 @@
 	failing := s.FailsCurrentRequest()
 	body, _ := io.ReadAll(r.Body)
 	time.Sleep(time.Duration(s.workMS.Load()) * time.Millisecond)
-	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
 	w.Header().Set("Response-Signature", "s")
 	w.Header().Set("X-Server", s.ID())
 	w.Header().Set("X-Path", r.URL.Path)
