Remove the headers of the nodes from the responses of servers

If the body was long, the connection to the node stayed open. Cause: the headers were removed from requests only. Change: the owner node removes them from the server's response too; the entry node closes the rest of a refusal's body. Evidence: the spec fails without the removal and passes with it.

--- a/plugins/callrelay/entry.go
+++ b/plugins/callrelay/entry.go
@@ -158,6 +158,9 @@
 	response.Header.Del(wire.HeaderLoad) // internal to nodes
 	response.Header.Del(wire.HeaderServerTime)
 	if response.Header.Get(port.CodeHeader) != "" {
+		if response.Remaining != nil {
+			_ = response.Remaining.Close()
+		}
 		return nil, load, port.ReadRefusal(&http.Response{
 			StatusCode: response.Status, Header: response.Header, Body: io.NopCloser(bytes.NewReader(response.Buffered)),
 		})
--- a/plugins/callrelay/owner.go
+++ b/plugins/callrelay/owner.go
@@ -142,6 +142,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	removeNodeHeaders(response.Header) // a server's own would be taken for those of its node
 	if err := o.checkResponse(response, id); err != nil {
 		if response.Remaining != nil {
 			_ = response.Remaining.Close()
@@ -196,11 +197,7 @@
 func outgoingRequest(r *http.Request) *http.Request {
 	h := r.Header.Clone()
 	wire.RemoveHopHeaders(h)
-	for name := range h {
-		if strings.HasPrefix(name, nodeHeaderPrefix) {
-			delete(h, name)
-		}
-	}
+	removeNodeHeaders(h)
 	h.Del("Expect")
 	if _, given := h["User-Agent"]; !given {
 		h["User-Agent"] = nil // keeps net/http from adding its own
@@ -208,6 +205,15 @@
 	return &http.Request{Method: r.Method, URL: r.URL, Host: r.Host, Header: h, ProtoMajor: 1, ProtoMinor: 1}
 }
 
+// removeNodeHeaders deletes the headers that only nodes may set.
+func removeNodeHeaders(h http.Header) {
+	for name := range h {
+		if strings.HasPrefix(name, nodeHeaderPrefix) {
+			delete(h, name)
+		}
+	}
+}
+
 // nodeHeaderPrefix is the prefix of all headers between nodes.
 const nodeHeaderPrefix = "Teasel-"
 
--- a/plugins/callrelay/relay_test.go
+++ b/plugins/callrelay/relay_test.go
@@ -382,3 +382,15 @@
 		Expect(n.entry.Release.Len()).To(Equal(1))
 	})
 })
+
+// A server's own header was taken for the refusal of its node, which the entry node
+// believes: the request was sent to a second server, or its client told "not run".
+var _ = Describe("a server that sends a header of the nodes", func() {
+	It("gets it removed", func() {
+		address, _ := server("HTTP/1.1 200 OK\r\nId: 1\r\nProof: p\r\n" + port.CodeHeader + ": 1010\r\nTeasel-Other: x\r\nContent-Length: 2\r\n\r\nok")
+		response := newNode(address).call(http.MethodPost, "/once/x", "b")
+		Expect(response.Status).To(Equal(http.StatusOK))
+		Expect(response.Header).NotTo(HaveKey(port.CodeHeader))
+		Expect(response.Header).NotTo(HaveKey("Teasel-Other"))
+	})
+})
