Bound what every reader holds of a response without end

Callers could see (report of another operator): a machine out of memory, and the requests of its other clients lost with it. Cause: net/http holds heads of up to 10 MB, and the call path up to 1 MB of each body in progress. Change: all clients read heads of at most 64 KB; long bodies in progress share 16 MB, beyond which they are streamed after 64 KB; refusals and status replies between nodes are bounded. The endless servers of the specs have a package of their own.

--- a/plugins/callforward/exchange.go
+++ b/plugins/callforward/exchange.go
@@ -216,5 +216,5 @@
 	defer response.Body.Close()
 	var settled settleResponse
 	return response.StatusCode == http.StatusOK &&
-		json.NewDecoder(response.Body).Decode(&settled) == nil && settled.NotRun
+		json.NewDecoder(io.LimitReader(response.Body, port.MaxHeadBytes)).Decode(&settled) == nil && settled.NotRun
 }
--- a/plugins/callforward/owner.go
+++ b/plugins/callforward/owner.go
@@ -27,11 +27,12 @@
 
 func newOwner(s *Settings, in ownerIn) *owner {
 	return &owner{in: in, upstreamTransport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-		MaxIdleConnsPerHost: s.UpstreamConnections,
-		MaxConnsPerHost:     s.UpstreamConnections,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
+		DialContext:            (&net.Dialer{Timeout: time.Second}).DialContext,
+		MaxIdleConnsPerHost:    s.UpstreamConnections,
+		MaxConnsPerHost:        s.UpstreamConnections,
+		IdleConnTimeout:        30 * time.Second,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: port.MaxHeadBytes,
 	}}
 }
 
--- a/plugins/callrelay/endless_test.go
+++ b/plugins/callrelay/endless_test.go
@@ -1,13 +1,11 @@
 package callrelay
 
 import (
-	"bufio"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
-	"runtime"
+	"slices"
 	"strings"
 	"time"
 
@@ -16,49 +14,19 @@
 
 	"teaselring/port"
 	"teaselring/result"
+	"teaselring/test/endless"
 )
 
-// endlessServer answers each request with a beginning and then repeats a part until
-// the connection is closed. It reports each closed connection.
-func endlessServer(begin, part string) (address string, closed chan struct{}) {
-	closed = make(chan struct{}, 16)
-	repeated := []byte(strings.Repeat(part, 1+(16<<10)/len(part)))
-	return serveConnections(func(c net.Conn) {
-		defer func() { closed <- struct{}{} }()
-		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-			return
-		}
-		if _, err := io.WriteString(c, begin); err != nil {
-			return
-		}
-		for {
-			if _, err := c.Write(repeated); err != nil {
-				return
-			}
-		}
-	}), closed
-}
-
-func allocated() uint64 {
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.TotalAlloc
-}
-
-// maxAllocated bounds what a call may allocate for bytes that are no response: a few
-// such calls at once must fit into the smallest machine (184 MB).
-const maxAllocated = 16 << 20
-
 const okHead = "HTTP/1.1 200 OK\r\nId: 1\r\nProof: p\r\n"
 
 // Guards against a node that holds all bytes of a head until its memory is exhausted.
 var _ = DescribeTable("a server that sends a head without end",
 	func(begin, part string) {
-		address, closed := endlessServer(begin, part)
+		address, closed := endless.Serve(begin, part)
 		n := newNode(address)
-		before := allocated()
+		before := endless.Allocated()
 		response := n.call(http.MethodPost, "/once/x", "")
-		Expect(allocated() - before).To(BeNumerically("<", maxAllocated))
+		Expect(endless.Allocated() - before).To(BeNumerically("<", endless.MaxAllocated))
 		Expect(code(response)).To(Equal("1024"), string(response.Buffered))
 		Expect(response.Status).To(Equal(http.StatusBadGateway), "the request may have run")
 		Eventually(closed, time.Minute).Should(Receive())
@@ -79,16 +47,16 @@
 // Guards against a node that reads on after its caller has left.
 var _ = DescribeTable("a server that sends a body without end",
 	func(begin, part string) {
-		address, closed := endlessServer(begin, part)
+		address, closed := endless.Serve(begin, part)
 		n := newNode(address)
 		ctx, disconnect := context.WithCancel(context.Background())
 		defer disconnect()
-		before := allocated()
+		before := endless.Allocated()
 		response := n.callFor(ctx, http.MethodGet, "/read/x", "")
 		Expect(response.Remaining).NotTo(BeNil())
 		_, err := io.CopyN(io.Discard, response.Remaining, 32<<20)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(allocated() - before).To(BeNumerically("<", maxAllocated))
+		Expect(endless.Allocated() - before).To(BeNumerically("<", endless.MaxAllocated))
 		disconnect()
 		_, err = io.Copy(io.Discard, response.Remaining)
 		Expect(err).To(HaveOccurred(), "a part of a response must not look complete")
@@ -102,15 +70,40 @@
 
 var _ = Describe("a node that sends a head without end", func() {
 	It("costs the call, which may have run, and no memory", func() {
-		address, closed := endlessServer("HTTP/1.1 200 OK\r\nX: ", "x")
+		address, closed := endless.Serve("HTTP/1.1 200 OK\r\nX: ", "x")
 		x := &exchange{
 			pool: newPool(), guard: guard(), address: address, request: &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/"}, Host: "h", Header: http.Header{}},
 			incoming: &port.Request{}, idleTimeout: func(*http.Response) time.Duration { return peerIdleTimeout },
 		}
-		before := allocated()
+		before := endless.Allocated()
 		_, err := x.run(context.Background())
 		Expect(result.Of(err)).To(Equal(result.ConnectionLost))
-		Expect(allocated() - before).To(BeNumerically("<", maxAllocated))
+		Expect(endless.Allocated() - before).To(BeNumerically("<", endless.MaxAllocated))
 		Eventually(closed, time.Minute).Should(Receive())
 	})
 })
+
+// Guards against a node that runs out of memory on many bodies without end at once, each of
+// which it holds in part.
+var _ = Describe("many servers that send bodies without end", func() {
+	It("share a bounded part of the memory, which is free again afterwards", func() {
+		const calls = 48
+		address, _ := endless.Serve(okHead+"\r\n", "x")
+		n := newNode(slices.Repeat([]string{address}, calls+1)...)
+		held, remaining := 0, []io.Closer{}
+		for range calls {
+			response := n.call(http.MethodGet, "/read/x", "")
+			Expect(response.Remaining).NotTo(BeNil())
+			held += len(response.Buffered)
+			remaining = append(remaining, response.Remaining)
+		}
+		Expect(held).To(BeNumerically("<=", maxHeldTotal+calls*minHeldBytes))
+		for _, r := range remaining {
+			Expect(r.Close()).To(Succeed())
+			_ = r.Close() // a body may be closed twice
+		}
+		last := n.call(http.MethodGet, "/read/x", "")
+		Expect(last.Buffered).To(HaveLen(maxHeldBytes))
+		Expect(last.Remaining.Close()).To(Succeed())
+	})
+})
--- a/plugins/callrelay/exchange.go
+++ b/plugins/callrelay/exchange.go
@@ -9,6 +9,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"teaselring/kernel"
@@ -20,11 +21,12 @@
 	// maxHeldBytes is the part of a response that is read before it is forwarded, so
 	// that a truncated response is detected. Larger ones are streamed.
 	maxHeldBytes = 1 << 20
+	// minHeldBytes is that part while the responses in progress hold maxHeldTotal
+	// together: many bodies without end must fit into the smallest machine (184 MB).
+	minHeldBytes = 64 << 10
+	maxHeldTotal = 16 << 20
 	// maxStrayResponses bounds the responses to earlier requests that are skipped.
 	maxStrayResponses = 3
-	// maxHeadBytes bounds the head of a response, the interim responses before it
-	// included. Servers send a few hundred bytes.
-	maxHeadBytes = 64 << 10
 	// maxInterimResponses bounds the interim responses (1xx) to one request.
 	maxInterimResponses = 16
 	// bodyFinishTimeout is the time to send the rest of a body whose response is
@@ -136,27 +138,50 @@
 		return nil, err
 	}
 	response := &port.Response{Status: httpResponse.StatusCode, Header: httpResponse.Header, Length: httpResponse.ContentLength}
-	response.Buffered, err = io.ReadAll(io.LimitReader(httpResponse.Body, maxHeldBytes))
+	streamed, release, err := x.hold(response, httpResponse.Body)
 	if err != nil {
+		release()
 		return nil, err
 	}
-	if len(response.Buffered) == maxHeldBytes {
-		response.Remaining = &streamedBody{Reader: httpResponse.Body, conn: x.conn}
+	if streamed {
+		response.Remaining = &streamedBody{Reader: httpResponse.Body, conn: x.conn, release: release}
 		return response, nil
 	}
+	release()
 	response.Length = int64(len(response.Buffered))
 	x.releaseConnection(ctx, httpResponse, strays)
 	return response, nil
 }
 
+// hold reads the beginning of a body, and reports whether there may be more. Release
+// returns what the body takes of the bytes that responses in progress may hold together.
+func (x *exchange) hold(response *port.Response, body io.Reader) (streamed bool, release func(), err error) {
+	release = func() {}
+	if response.Buffered, err = io.ReadAll(io.LimitReader(body, minHeldBytes)); err != nil || len(response.Buffered) < minHeldBytes {
+		return false, release, err
+	}
+	if x.pool.held.Add(maxHeldBytes) > maxHeldTotal {
+		x.pool.held.Add(-maxHeldBytes)
+		return true, release, nil
+	}
+	release = sync.OnceFunc(func() { x.pool.held.Add(-maxHeldBytes) })
+	more, err := io.ReadAll(io.LimitReader(body, maxHeldBytes-minHeldBytes))
+	response.Buffered = append(response.Buffered, more...)
+	return len(response.Buffered) == maxHeldBytes, release, err
+}
+
 // streamedBody is the rest of a long response. Its connection is not reused.
 type streamedBody struct {
 	io.Reader
-	conn *connection
+	conn    *connection
+	release func()
 }
 
 // Close implements io.Closer.
-func (s *streamedBody) Close() error { return s.conn.Close() }
+func (s *streamedBody) Close() error {
+	s.release()
+	return s.conn.Close()
+}
 
 // send writes the request. A long body is sent concurrently.
 func (x *exchange) send() error {
@@ -206,7 +231,7 @@
 
 // readHead reads the head of the next response, after any interim responses.
 func (x *exchange) readHead() (*http.Response, error) {
-	x.conn.input.Limit(maxHeadBytes)
+	x.conn.input.Limit(port.MaxHeadBytes) // interim responses included
 	defer x.conn.input.Unlimit()
 	for range maxInterimResponses {
 		response, err := http.ReadResponse(x.conn.reader, x.request)
--- a/plugins/callrelay/pool.go
+++ b/plugins/callrelay/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -40,6 +41,7 @@
 type pool struct {
 	idle   sync.Map // address to chan *connection
 	dialer net.Dialer
+	held   atomic.Int64 // bytes reserved by long responses in progress
 }
 
 func newPool() *pool {
--- a/plugins/operatorsapi/status.go
+++ b/plugins/operatorsapi/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -27,6 +28,7 @@
 	// maxStatusRequests bounds the nodes that are queried concurrently.
 	maxStatusRequests = 32
 	statusTimeout     = 2 * time.Second
+	maxStatusBytes    = 1 << 20 // of one node
 )
 
 // status queries every known node, so that nodes need not replicate their status.
@@ -113,7 +115,7 @@
 		return s, err
 	}
 	defer response.Body.Close()
-	return s, json.NewDecoder(response.Body).Decode(&s)
+	return s, json.NewDecoder(io.LimitReader(response.Body, maxStatusBytes)).Decode(&s)
 }
 
 func (a *api) peerStatus(w http.ResponseWriter, _ *http.Request) {
--- a/plugins/platformhttp/client.go
+++ b/plugins/platformhttp/client.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"teaselring/port"
 	"teaselring/result"
 )
 
@@ -35,11 +36,12 @@
 // New returns a client. It opens no connection.
 func New(settings Settings) *Client {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: settings.Timeout.Duration}).DialContext,
-		MaxIdleConnsPerHost: maxConnections,
-		MaxConnsPerHost:     maxConnections,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		DialContext:            (&net.Dialer{Timeout: settings.Timeout.Duration}).DialContext,
+		MaxIdleConnsPerHost:    maxConnections,
+		MaxConnsPerHost:        maxConnections,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: port.MaxHeadBytes,
 	}
 	return &Client{
 		base:    "http://" + settings.Address.String(),
--- a/plugins/rolloutrows/duties.go
+++ b/plugins/rolloutrows/duties.go
@@ -25,7 +25,7 @@
 
 func newSender(r *reports, v *verdicts, logger *log.Logger) kernel.Duty {
 	s := &sender{reports: r, verdicts: v, logger: logger, client: &http.Client{
-		Timeout: reportTimeout, Transport: &http.Transport{IdleConnTimeout: 5 * time.Second},
+		Timeout: reportTimeout, Transport: &http.Transport{IdleConnTimeout: 5 * time.Second, MaxResponseHeaderBytes: port.MaxHeadBytes},
 	}}
 	return kernel.Duty{
 		Name: "evidence-sender", Owns: "nothing", In: []string{reportRing}, Out: []string{verdictRing}, Run: s.run,
--- a/plugins/storereplica/client.go
+++ b/plugins/storereplica/client.go
@@ -36,7 +36,7 @@
 func newRowsClient(rows *port.RowsCell) *rowsClient {
 	return &rowsClient{rows: rows, http: &http.Client{Transport: &http.Transport{
 		DialContext:     (&net.Dialer{Timeout: connectTimeout}).DialContext,
-		IdleConnTimeout: 5 * time.Second, DisableCompression: true,
+		IdleConnTimeout: 5 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: port.MaxHeadBytes,
 	}}}
 }
 
--- a/plugins/storereplica/storereplica_test.go
+++ b/plugins/storereplica/storereplica_test.go
@@ -21,6 +21,7 @@
 	"teaselring/mesh"
 	"teaselring/port"
 	"teaselring/result"
+	"teaselring/test/endless"
 )
 
 func TestStoreReplica(t *testing.T) {
@@ -313,3 +314,20 @@
 		Expect(err).To(HaveOccurred())
 	})
 })
+
+// Guards against a node that runs out of memory on the response of another process that has
+// taken the address of a node.
+var _ = DescribeTable("a node that responds without end", func(begin, part string) {
+	address, closed := endless.Serve(begin, part)
+	rows := new(port.RowsCell)
+	rows.Store(replica.New())
+	before := endless.Allocated()
+	_, err := newRowsClient(rows).fetch(context.Background(), address, 0)
+	Expect(err).To(HaveOccurred())
+	Expect(endless.Allocated() - before).To(BeNumerically("<", 4*maxResponseBytes))
+	Eventually(closed, "10s").Should(Receive())
+},
+	Entry("in the head", "HTTP/1.1 200 OK\r\n", "X: y\r\n"),
+	Entry("in interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"),
+	Entry("in the body", "HTTP/1.1 200 OK\r\n\r\n", "x"),
+)
--- a/plugins/upstreambeats/announce.go
+++ b/plugins/upstreambeats/announce.go
@@ -64,7 +64,9 @@
 			Node: in.Identity.Node, Incarnation: mesh.Incarnation(time.Now().UnixNano()), Zone: in.Identity.Zone,
 			Region: in.Identity.Region, PeerAddress: in.PlatformSettings.Inbound.String(), State: mesh.NodeAlive,
 		},
-		client: &http.Client{Timeout: healthCheckTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+		client: &http.Client{Timeout: healthCheckTimeout, Transport: &http.Transport{
+			DisableKeepAlives: true, MaxResponseHeaderBytes: port.MaxHeadBytes,
+		}},
 	}
 	return kernel.Duty{
 		Name: "announce", Owns: "the state of the server beside the node",
--- a/plugins/upstreambeats/announce_test.go
+++ b/plugins/upstreambeats/announce_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -18,6 +19,7 @@
 	"teaselring/mesh"
 	"teaselring/port"
 	"teaselring/result"
+	"teaselring/test/endless"
 )
 
 func TestUpstreamBeats(t *testing.T) {
@@ -90,6 +92,8 @@
 	local   *port.LocalCell
 	grace   *kernel.Grace
 	end     context.CancelFunc
+
+	snapshot *port.SnapshotCell
 }
 
 const (
@@ -103,6 +107,7 @@
 	n := &node{
 		store: s, rows: new(port.RowsCell), changed: kernel.NewRing[port.RowsChanged]("changed", 1, kernel.ReplaceOldest),
 		ring: kernel.NewRing[kernel.Request[port.Announcement, struct{}]]("requests", 4, kernel.Refuse), local: new(port.LocalCell), grace: kernel.NewGrace(),
+		snapshot: new(port.SnapshotCell),
 	}
 	n.rows.Store(replica.New())
 	settings := &port.PlatformSettings{Service: "s", Upstream: netip.MustParseAddrPort(server), Inbound: netip.MustParseAddrPort("127.0.0.1:1"), WriteRate: 1e6}
@@ -113,7 +118,7 @@
 		newTracker(trackerIn{
 			Identity: mesh.Identity{Node: "n"}, PlatformSettings: settings, Requests: n.ring, RowChanges: rowChanges{n.changed},
 			RowUpdates: updates, Written: written, Self: kernel.NewRing[mesh.Member]("self", 1, kernel.ReplaceOldest), Local: n.local,
-			Rows: n.rows, Snapshot: new(port.SnapshotCell), Grace: n.grace, Logger: logger,
+			Rows: n.rows, Snapshot: n.snapshot, Grace: n.grace, Logger: logger,
 		}),
 		newWriter(writerIn{RowUpdates: updates, Written: written, Feed: s, Rows: n.rows, PlatformSettings: settings, Logger: logger}),
 	}
@@ -266,3 +271,22 @@
 		Eventually(rows.Endpoint, "5s").Should(BeNil())
 	})
 })
+
+// Guards against a health check that holds a head without end.
+var _ = DescribeTable("a server whose health check answers without end", func(begin, part string) {
+	address, closed := endless.Serve(begin, part)
+	rows := &store{revision: 1, row: &mesh.Member{
+		Node: "n", PeerAddress: "127.0.0.1:1", State: mesh.NodeAlive,
+		Endpoint: mesh.Endpoint{Service: "s", Slots: 6, State: mesh.EndpointReady, Process: "i/100", Instance: instance, StartedAt: born},
+	}}
+	n := startNode(rows, address)
+	n.snapshot.Store(&mesh.Snapshot{Services: map[mesh.ServiceID]mesh.Service{"s": {HealthPath: "/health"}}})
+	before := endless.Allocated()
+	n.readRows()
+	Eventually(closed, "10s").Should(Receive())
+	Expect(endless.Allocated()-before).To(BeNumerically("<", 1<<20), "10 MB by default")
+	Expect(n.state()).To(Equal(mesh.EndpointNone))
+},
+	Entry("in the head", "HTTP/1.1 200 OK\r\n", "X: "+strings.Repeat("y", 100)+"\r\n"),
+	Entry("in one header line", "HTTP/1.1 200 OK\r\nX: ", "x"),
+)
--- a/port/limited_input.go
+++ b/port/limited_input.go
@@ -6,6 +6,10 @@
 	"github.com/juju/errors"
 )
 
+// MaxHeadBytes bounds the head of a response of another process. The largest that is
+// expected takes a few hundred bytes; net/http alone would hold 10 MB.
+const MaxHeadBytes = 64 << 10
+
 // ErrHeadTooLarge is returned by a LimitedInput whose limit is exhausted.
 const ErrHeadTooLarge = errors.ConstError("the head of the message is too large")
 
--- a/port/refuse.go
+++ b/port/refuse.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 
@@ -11,6 +12,9 @@
 // CodeHeader is the header with the result code number of a refusal.
 const CodeHeader = "Teasel-Code"
 
+// maxRefusalBytes bounds the body of a refusal that is read; its code is in the header.
+const maxRefusalBytes = 64 << 10
+
 // Refusal is the JSON body of a refusal.
 type Refusal struct {
 	Code    int               `json:"code"`
@@ -49,7 +53,7 @@
 		return result.Internal.Errorf("status %d with result code %q", response.StatusCode, response.Header.Get(CodeHeader))
 	}
 	var refusal Refusal
-	if err := json.NewDecoder(response.Body).Decode(&refusal); err != nil {
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxRefusalBytes)).Decode(&refusal); err != nil {
 		return result.ByNumber(number).Err()
 	}
 	return &result.Error{Code: result.ByNumber(number), Message: refusal.Message, Details: refusal.Details}
