--- a/decision/presence/presence.go
+++ b/decision/presence/presence.go
@@ -52,6 +52,11 @@
 	return s
 }
 
+// IsOf reports whether the state is that of a server with an id and a start time; 0: any.
+func (s State) IsOf(instance string, startedAt int64) bool {
+	return s.Instance == instance && (startedAt == 0 || startedAt == s.StartedAt)
+}
+
 // leavesUndated reports whether a server left by a notice without a start time, which
 // applies to the server with the same id.
 func (s State) leavesUndated(row State) bool {
--- a/plugins/upstreambeats/announce.go
+++ b/plugins/upstreambeats/announce.go
@@ -101,19 +101,28 @@
 	}
 }
 
-// handle applies an announcement and acknowledges it. The state is in force before the
+// handle applies an announcement and acknowledges it, unless it is ignored because another
+// server is known. The state is in force before the
 // acknowledgement, so that a leaving server gets no new calls after it; that a server
 // leaves is also in the node's row, so that a later process of the node knows it.
 func (t *tracker) handle(ctx context.Context, request announceRequest) {
 	n := &request.Payload
 	leaving := n.Draining || n.Final
 	switch {
+	case !presence.PlausibleStart(n.StartedAt, time.Now()):
+		request.Fail(result.BadMessage.Errorf("start %d of server %s is in the future", n.StartedAt, n.Instance))
+		return
 	case !leaving && !t.rowKnown():
 		t.hold(n)
-	default:
-		t.apply(ctx, n)
+		request.Respond(struct{}{})
+		return
+	}
+	t.apply(ctx, n)
+	if !t.state.IsOf(n.Instance, n.StartedAt) {
+		request.Fail(result.BadMessage.Errorf("server %s is not the one that is known, %s", n.Instance, t.state.Instance))
+		return
 	}
-	if !leaving || n.Instance != t.state.Instance {
+	if !leaving {
 		request.Respond(struct{}{})
 		return
 	}
--- a/plugins/upstreambeats/announce_test.go
+++ b/plugins/upstreambeats/announce_test.go
@@ -144,10 +144,12 @@
 }
 
 // announce sends an announcement and returns an error when it is not acknowledged.
-func (n *node) announce(a port.Announcement) error {
+func (n *node) announce(a port.Announcement) error { return n.announceAs(instance, born, a) }
+
+func (n *node) announceAs(id string, startedAt int64, a port.Announcement) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 	defer cancel()
-	a.Instance, a.StartedAt, a.Service = instance, born, "s"
+	a.Instance, a.StartedAt, a.Service = id, startedAt, "s"
 	if !a.Final {
 		a.Version, a.Slots = "v1", 6
 	}
@@ -246,6 +248,20 @@
 		Eventually(n.state, "5s").Should(Equal(mesh.EndpointReady))
 	})
 
+	// Another writer's heartbeat made the real server's announcements outdated. That it
+	// drains was acknowledged and ignored, so it went on getting requests (review/4).
+	It("is acknowledged only for what is held", func() {
+		n := start()
+		n.readRows()
+		Expect(n.announce(port.Announcement{Sequence: 5})).To(Succeed())
+		Expect(n.announceAs("other", born+1, port.Announcement{Sequence: 1})).To(Succeed())
+		Expect(n.announce(port.Announcement{Sequence: 6, Draining: true})).NotTo(Succeed())
+		Expect(n.announce(port.Announcement{Final: true})).NotTo(Succeed())
+		Expect(n.announceAs("future", 1<<62, port.Announcement{Sequence: 1})).NotTo(Succeed())
+		Expect(n.announceAs("other", born+1, port.Announcement{Sequence: 1})).To(Succeed(), "a duplicate")
+		Expect(n.announceAs("other", born+1, port.Announcement{Sequence: 2, Draining: true})).To(Succeed())
+	})
+
 	It("whose row names a start in the future is in use", func() {
 		rows.row, rows.revision = &mesh.Member{
 			Node: "n", PeerAddress: "127.0.0.1:1", State: mesh.NodeAlive,
--- a/test/sidecar/mesh.go
+++ b/test/sidecar/mesh.go
@@ -156,9 +156,10 @@
 	machine := &Machine{mesh: m, name: name, zone: zone, Server: newServer(m.h.FreeAddress(), "i-"+name, zone)}
 	a := &machine.Address
 	a.Inbound, a.Outbound, a.Ready, a.Control = m.h.FreeAddress(), m.h.FreeAddress(), m.h.FreeAddress(), m.h.FreeAddress()
+	machine.Server.appAddress = o.ProxyAddress(ToServer, i, machine.Server.Listener.Addr().String())
 	settings, err := json.Marshal(map[string]any{
 		"NodeName": name, "Zone": zone, "Region": "r", "Service": Service,
-		"AppAddress":         o.ProxyAddress(ToServer, i, machine.Server.Listener.Addr().String()),
+		"AppAddress":         machine.Server.appAddress,
 		"HeartbeatIntervalS": heartbeatInterval.Seconds(), "Bounds": map[string]any{"DrainS": 2, "GracePeriodS": 6},
 		"ListenAddresses": map[string]any{"Inbound": a.Inbound, "Outbound": a.Outbound, "Ready": a.Ready, "Control": a.Control},
 		"Platform":        map[string]any{"Address": o.ProxyAddress(ToStore, i, m.Store.Serve(name))},
--- a/test/sidecar/server.go
+++ b/test/sidecar/server.go
@@ -16,6 +16,7 @@
 type Server struct {
 	*httptest.Server
 	zone             string
+	appAddress       string       // that its node knows
 	id               atomic.Value // string
 	version          atomic.Value // string
 	failing          atomic.Bool  // fails every second call
@@ -185,7 +186,7 @@
 // Heartbeat returns the server's next heartbeat.
 func (s *Server) Heartbeat() Announcement {
 	return s.announcement("heartbeat", map[string]any{
-		"Address":     s.Listener.Addr().String(),
+		"Address":     s.appAddress,
 		"Information": map[string]any{"Service": Service, "Version": s.version.Load(), "Zone": s.zone, "Slots": 8},
 		"Status":      map[string]any{"State": s.state.Load(), "Sequence": s.sequence.Add(1), "ColdRemainingS": 0},
 		"born":        s.startedAt.Load(),
