Let the outbound listener survive failures, and accept targets in absolute form

Change: the listener waits and goes on, with a line in the log and the metric outbound.accept_errors; drain returns without a socket; the absolute form becomes the origin form.

--- a/plugins/edgeoutbound/client.go
+++ b/plugins/edgeoutbound/client.go
@@ -124,6 +124,7 @@
 	}
 	_ = c.conn.SetReadDeadline(time.Time{})
 	x := &exchange{request: request, response: make(chan *port.Response, 1), arrived: arrived, closeAfter: request.Close || !request.ProtoAtLeast(1, 1)}
+	useOriginForm(request)
 	if err := validateRequest(request, limits.BodyBytes); err != nil {
 		return c.refuse(x, err)
 	}
@@ -186,6 +187,26 @@
 	x.response <- &port.Response{Status: status, Header: http.Header{}}
 }
 
+// useOriginForm converts a target in absolute form, which a server must accept (RFC 9112
+// section 3.2.2). net/http has set the host of the request from it.
+func useOriginForm(r *http.Request) {
+	if r.URL.Scheme != "http" || r.URL.Host == "" || r.Method == http.MethodConnect {
+		return
+	}
+	_, target, _ := strings.Cut(r.RequestURI, "://")
+	if i := strings.IndexAny(target, "/?"); i >= 0 && target[i] == '/' {
+		r.RequestURI = target[i:]
+	} else if i >= 0 {
+		r.RequestURI = "/" + target[i:]
+	} else {
+		r.RequestURI = "/"
+	}
+	r.URL.Scheme, r.URL.Host, r.URL.User = "", "", nil
+	if r.URL.Path == "" {
+		r.URL.Path = "/"
+	}
+}
+
 // validateRequest refuses requests that another HTTP implementation might parse
 // differently.
 func validateRequest(r *http.Request, bodyBytes int64) error {
--- a/plugins/edgeoutbound/setup.go
+++ b/plugins/edgeoutbound/setup.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/fx"
@@ -47,6 +48,10 @@
 	// the period, and a slow machine needs time to end the process.
 	cutoffFraction    = 0.85
 	drainPollInterval = 50 * time.Millisecond
+
+	// minAcceptBackoff and maxAcceptBackoff bound the wait after a failure to accept.
+	minAcceptBackoff = 5 * time.Millisecond
+	maxAcceptBackoff = time.Second
 )
 
 type edgeIn struct {
@@ -70,8 +75,8 @@
 	// closed is set when no further request is started.
 	closed atomic.Bool
 
-	connections, requests metrics.Counter
-	latency               metrics.Histogram
+	connections, requests, acceptErrors metrics.Counter
+	latency                             metrics.Histogram
 }
 
 func init() {
@@ -81,10 +86,11 @@
 		Module: func(kernel.Validator) fx.Option {
 			return fx.Invoke(func(lc fx.Lifecycle, in edgeIn) {
 				e := &edge{
-					edgeIn:      in,
-					connections: metrics.NewRegisteredCounter("outbound.connections", in.Metrics),
-					requests:    metrics.NewRegisteredCounter("outbound.requests", in.Metrics),
-					latency:     metrics.NewRegisteredHistogram("outbound.latency_ms", in.Metrics, metrics.NewExpDecaySample(1028, 0.015)),
+					edgeIn:       in,
+					connections:  metrics.NewRegisteredCounter("outbound.connections", in.Metrics),
+					requests:     metrics.NewRegisteredCounter("outbound.requests", in.Metrics),
+					acceptErrors: metrics.NewRegisteredCounter("outbound.accept_errors", in.Metrics),
+					latency:      metrics.NewRegisteredHistogram("outbound.latency_ms", in.Metrics, metrics.NewExpDecaySample(1028, 0.015)),
 				}
 				lc.Append(fx.StartHook(e.start))
 				in.Grace.OnDrain(e.drain)
@@ -105,14 +111,21 @@
 }
 
 func (e *edge) accept(socket net.Listener) {
-	for {
+	for failures := 0; ; {
 		conn, err := socket.Accept()
-		if err != nil {
-			if !e.Grace.Stopping() {
-				e.Logger.Error().Err(err).Msg("outbound listener failed")
-			}
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil { // such as no free file descriptor
+			e.acceptErrors.Inc(1)
+			if failures == 0 {
+				e.Logger.Error().Err(err).Msg("connection not accepted")
+			}
+			_ = kernel.Sleep(context.Background(), kernel.Backoff(failures, minAcceptBackoff, maxAcceptBackoff))
+			failures++
+			continue
+		}
+		failures = 0
 		e.connections.Inc(1)
 		go newClientConn(e, conn).run()
 	}
@@ -121,6 +134,9 @@
 // drain keeps serving until clients have been redirected and the calls in progress,
 // including those of other nodes, have ended.
 func (e *edge) drain(ctx context.Context) {
+	if e.socket == nil {
+		return // the address could not be bound
+	}
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
 	cutoff := time.Duration(cutoffFraction * float64(e.PlatformSettings.Grace))
