Forward targets unchanged, look up hosts without case, never pool an interrupted connection

Change: the target is written as it was received; hosts are compared in lower case; the watch for the end of a call is ended before the connection is pooled, and one that it interrupted is closed.

--- a/mesh/snapshot.go
+++ b/mesh/snapshot.go
@@ -148,7 +148,8 @@
 	s.ByHost = map[string][]*Route{}
 	for i := range s.Routes {
 		r := &s.Routes[i]
-		s.ByHost[r.Host] = append(s.ByHost[r.Host], r)
+		host := strings.ToLower(r.Host)
+		s.ByHost[host] = append(s.ByHost[host], r)
 	}
 	for host, routes := range s.ByHost {
 		sort.Slice(routes, func(i, j int) bool {
@@ -166,12 +167,12 @@
 }
 
 // RouteOfHost returns the host's route with the longest prefix of the path, or nil. The
-// host may have a port, which is ignored.
+// host is compared without regard to case; it may have a port, which is ignored.
 func (s *Snapshot) RouteOfHost(host, path string) *Route {
 	if hostname, _, err := net.SplitHostPort(host); err == nil {
 		host = hostname
 	}
-	for _, r := range s.ByHost[host] {
+	for _, r := range s.ByHost[strings.ToLower(host)] {
 		if strings.HasPrefix(path, r.PathPrefix) {
 			return r
 		}
--- a/plugins/callrelay/exchange.go
+++ b/plugins/callrelay/exchange.go
@@ -56,6 +56,9 @@
 	sendDone  chan error // result of a concurrent send; nil: none
 	reused    bool
 	startedAt time.Time
+	// stop ends the watch for the end of the context, and reports whether it did before
+	// that interrupted the connection.
+	stop func() bool
 }
 
 // run sends the request and receives the response. The error's code says whether
@@ -76,18 +79,16 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = conn.SetDeadline(deadline)
 	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
-	response, err := x.roundTrip(ctx)
+	x.stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	response, err := x.roundTrip()
 	if err != nil {
-		stop()
+		x.stop()
 		_ = conn.Close()
 		return nil, x.classifyError(ctx, err)
 	}
-	if response.Remaining == nil {
-		stop()
-		return response, nil
+	if response.Remaining != nil {
+		response.Remaining = &stoppingBody{ReadCloser: response.Remaining, stop: x.stop}
 	}
-	response.Remaining = &stoppingBody{ReadCloser: response.Remaining, stop: stop}
 	return response, nil
 }
 
@@ -129,7 +130,7 @@
 	return result.CallerGone.Errorf("the caller disconnected during the call")
 }
 
-func (x *exchange) roundTrip(ctx context.Context) (*port.Response, error) {
+func (x *exchange) roundTrip() (*port.Response, error) {
 	if err := x.send(); err != nil {
 		return nil, err
 	}
@@ -149,7 +150,7 @@
 	}
 	release()
 	response.Length = int64(len(response.Buffered))
-	x.releaseConnection(ctx, httpResponse, strays)
+	x.releaseConnection(httpResponse, strays)
 	return response, nil
 }
 
@@ -249,11 +250,11 @@
 
 // releaseConnection returns the connection to the pool when the exchange is complete
 // on both sides and no bytes are left over; otherwise it closes it.
-func (x *exchange) releaseConnection(ctx context.Context, response *http.Response, strays int) {
+func (x *exchange) releaseConnection(response *http.Response, strays int) {
 	idle := x.idleTimeout(response)
 	delimited := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 	complete := delimited && strays == 0 && x.conn.reader.Buffered() == 0 && !x.bodyMayBeUnread(response) && x.bodySent()
-	if ctx.Err() != nil || response.Close || idle <= 0 || !complete {
+	if !x.stop() || response.Close || idle <= 0 || !complete {
 		_ = x.conn.Close()
 		return
 	}
--- a/plugins/callrelay/owner.go
+++ b/plugins/callrelay/owner.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -202,7 +203,16 @@
 	if _, given := h["User-Agent"]; !given {
 		h["User-Agent"] = nil // keeps net/http from adding its own
 	}
-	return &http.Request{Method: r.Method, URL: r.URL, Host: r.Host, Header: h, ProtoMajor: 1, ProtoMinor: 1}
+	return &http.Request{Method: r.Method, URL: targetURL(r), Host: r.Host, Header: h, ProtoMajor: 1, ProtoMinor: 1}
+}
+
+// targetURL returns a URL that is written as the target of the received request. net/url
+// escapes characters such as | anew.
+func targetURL(r *http.Request) *url.URL {
+	if r.RequestURI == "" || r.RequestURI == r.URL.RequestURI() || strings.HasPrefix(r.RequestURI, "//") {
+		return r.URL
+	}
+	return &url.URL{Opaque: r.RequestURI}
 }
 
 // removeNodeHeaders deletes the headers that only nodes may set.
--- a/plugins/callrelay/relay_test.go
+++ b/plugins/callrelay/relay_test.go
@@ -409,3 +409,39 @@
 		Expect(response.Header).NotTo(HaveKey("Teasel-Other"))
 	})
 })
+
+// The path of a request reached the server changed.
+var _ = DescribeTable("the target of a request reaches the server unchanged", func(target string) {
+	address, requests := server(okResponse("1", "ok"))
+	n := newNode(address)
+	r, err := http.ReadRequest(bufio.NewReader(strings.NewReader("GET " + target + " HTTP/1.1\r\nHost: H:80\r\nId: 1\r\n\r\n")))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(n.entry.serve(context.Background(), &port.Request{Request: r, Arrived: time.Now()}).Status).To(Equal(200))
+	var got *http.Request
+	Expect(requests).To(Receive(&got))
+	Expect(got.RequestURI).To(Equal(target))
+	Expect(got.Host).To(Equal("H:80"), "a host in capitals has a route")
+},
+	Entry("plain", "/read/x?y=1"),
+	Entry("with characters that net/url escapes", `/read/a|b^c"d{e}`),
+	Entry("with bytes above 127", "/read/caf\xc3\xa9"),
+	Entry("with escaped characters", "/read/a%2Fb%7cc?d=%20|"),
+	Entry("with an empty query", "/read/x?"),
+	Entry("with two slashes", "/read//x"),
+)
+
+// The end of a call set a past deadline on its connection when that was in use again.
+var _ = Describe("a connection whose call has ended", func() {
+	It("is not used again if the end of the call interrupted it", func() {
+		address, _ := server()
+		conn, err := newPool().get(context.Background(), address)
+		Expect(err).NotTo(HaveOccurred())
+		x := &exchange{
+			pool: newPool(), conn: conn, incoming: &port.Request{}, idleTimeout: func(*http.Response) time.Duration { return time.Minute },
+			stop: func() bool { return false },
+		}
+		x.releaseConnection(&http.Response{ContentLength: 0}, 0)
+		_, kept := x.pool.idle.Load(address)
+		Expect(kept).To(BeFalse())
+	})
+})
