--- a/test/sidecar/mesh.go
+++ b/test/sidecar/mesh.go
@@ -121,8 +121,8 @@
 	return changed
 }
 
-// Configure writes a configuration with an idempotent route for each prefix and one
-// non-idempotent route.
+// Configure writes a configuration with an idempotent route for each prefix, one
+// non-idempotent route and one for uploads.
 func (m *Mesh) Configure(version int, prefixes ...string) {
 	route := func(name, prefix, kind string) map[string]any {
 		return map[string]any{
@@ -130,7 +130,7 @@
 			"Priority": 1, "Service": Service, "MaxAttempts": 2,
 		}
 	}
-	routes := []any{route("once", "/once/", "non_idempotent")}
+	routes := []any{route("once", "/once/", "non_idempotent"), route("upload", "/upload/", "upload")}
 	for i, prefix := range prefixes {
 		routes = append(routes, route(fmt.Sprintf("read-%d", i), prefix, "idempotent"))
 	}
--- a/test/sidecar/server.go
+++ b/test/sidecar/server.go
@@ -132,6 +132,7 @@
 	s.sequence.Store(0)
 	s.drainAckedAt.Store(0)
 	s.state.Store("ready")
+	s.heartbeatsPaused.Store(false)
 }
 
 // Crash ends the server and all its requests; it restarts after 1.5 s.
@@ -193,6 +194,28 @@
 	})
 }
 
+// OddHeartbeat returns a heartbeat of another writer: it has no address and a later start.
+func (s *Server) OddHeartbeat() Announcement {
+	return s.announcement("heartbeat", map[string]any{
+		"Information": map[string]any{"Service": Service, "Version": s.version.Load(), "Zone": s.zone, "Slots": 8},
+		"Status":      map[string]any{"State": "ready", "Sequence": 1},
+		"born":        s.startedAt.Load() + 1,
+	})
+}
+
+// SendLeave sends the notice that the server leaves until it is acknowledged or the limit
+// has passed, and reports whether it was. The server serves on and sends no heartbeats.
+func (s *Server) SendLeave(control string, limit time.Duration) bool {
+	notice := s.Leave()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(heartbeatInterval) {
+		if s.SendAnnouncement(control, notice) {
+			s.drainAckedAt.CompareAndSwap(0, time.Now().UnixMilli())
+			return true
+		}
+	}
+	return false
+}
+
 // Leave stops the heartbeats and returns the notice that the server leaves.
 func (s *Server) Leave() Announcement {
 	s.heartbeatsPaused.Store(true)
--- a/test/soak/caller.go
+++ b/test/soak/caller.go
@@ -28,6 +28,10 @@
 	maxBodyBytes = 60_000 // about the platform's mean upload
 )
 
+// onceMethods are the methods of calls that must run at most once. The class of the route
+// decides that, whatever the method.
+var onceMethods = []string{http.MethodPost, http.MethodPut, http.MethodDelete, http.MethodPatch}
+
 // caller sends one request after another on a connection that it keeps until the
 // node closes it. It does not use net/http's client, which retries requests itself.
 type caller struct {
@@ -62,7 +66,7 @@
 	once := c.rnd.Float64() < onceShare
 	method, body := http.MethodGet, []byte(nil)
 	if once {
-		method, body = http.MethodPost, make([]byte, c.rnd.IntN(maxBodyBytes))
+		method, body = onceMethods[c.rnd.IntN(len(onceMethods))], make([]byte, c.rnd.IntN(maxBodyBytes))
 	}
 	timeout := time.Duration(500+c.rnd.IntN(2500)) * time.Millisecond
 	path, version := c.path(once)
@@ -164,7 +168,10 @@
 // configuration is in force: each version has its own route and those of the two
 // versions before it.
 func (c *caller) path(once bool) (path string, version int) {
-	if once || c.rnd.IntN(2) == 0 {
+	switch {
+	case once && c.rnd.IntN(2) == 0:
+		return uploadPrefix + c.name, 0
+	case once, c.rnd.IntN(2) == 0:
 		return stablePrefix(once) + c.name, 0
 	}
 	version = c.fleet.version() - c.rnd.IntN(2)
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -20,6 +20,10 @@
 	maxStopTime = 6 * time.Second
 	// maxAckWait is how long a draining server waits for the acknowledgement at most.
 	maxAckWait = 4 * time.Second
+	// maxLateness is how late a heartbeat from before a leave arrives.
+	maxLateness = 3 * time.Second
+	// maxServingOn is how long a server serves after its drain was acknowledged.
+	maxServingOn = 8 * time.Second
 	// addressReuseDelay is the time between the end of a server and the reuse of its address.
 	addressReuseDelay = 2 * time.Second
 )
@@ -140,17 +144,30 @@
 	}
 }
 
-// replaceServer drains a server and then starts another one at its address.
+// replaceServer drains a server and then starts another one at its address. In half of the
+// cases the server leaves by a notice, and a heartbeat from before arrives late; in half
+// of the cases another writer sends an odd heartbeat first.
 func replaceServer(f *fleet, i int) func(bool) bool {
-	s := f.mesh.Machines[i].Server
-	s.SetState("draining")
+	m := f.mesh.Machines[i]
+	s := m.Server
+	if f.variants.IntN(2) == 0 {
+		s.SendAnnouncement(m.Address.Control, s.OddHeartbeat())
+	}
+	if f.variants.IntN(2) == 0 {
+		late := s.Heartbeat()
+		go s.SendLeave(m.Address.Control, maxAckWait)
+		time.AfterFunc(time.Duration(f.variants.Int64N(int64(maxLateness))), func() { s.SendAnnouncement(m.Address.Control, late) })
+	} else {
+		s.SetState("draining")
+	}
+	servingOn := drainBound + addressReuseDelay + time.Duration(f.variants.Int64N(int64(maxServingOn)))
 	drainStart := time.Now()
 	return func(bool) bool {
 		ackedAt := s.DrainAckedAt()
-		if ackedAt.IsZero() && time.Since(drainStart) < maxAckWait {
-			return false
+		if time.Since(drainStart) < maxAckWait+addressReuseDelay {
+			return false // a late announcement may still be on its way
 		}
-		if !ackedAt.IsZero() && time.Since(ackedAt) < drainBound+addressReuseDelay {
+		if !ackedAt.IsZero() && time.Since(ackedAt) < servingOn {
 			return false
 		}
 		f.replacements++
--- a/test/soak/fleet.go
+++ b/test/soak/fleet.go
@@ -33,6 +33,7 @@
 	mesh          *sidecar.Mesh
 	ledger        *ledger
 	rnd           *rand.Rand
+	variants      *rand.Rand // of faults; apart from rnd, so that the plans of earlier seeds stay
 	proxies       []map[sidecar.Link]*harness.Proxy
 	configVersion atomic.Int64 // latest version written
 	incarnations  map[string]*atomic.Int64
@@ -47,7 +48,7 @@
 }
 
 func newFleet(h *harness.Harness, seed uint64, machines int) *fleet {
-	f := &fleet{h: h, ledger: newLedger(), rnd: rand.New(rand.NewPCG(seed, 1)), incarnations: map[string]*atomic.Int64{}}
+	f := &fleet{h: h, ledger: newLedger(), rnd: rand.New(rand.NewPCG(seed, 1)), variants: rand.New(rand.NewPCG(seed, 2)), incarnations: map[string]*atomic.Int64{}}
 	f.proxies = make([]map[sidecar.Link]*harness.Proxy, machines)
 	f.mesh = sidecar.NewMeshWithOptions(h, sidecar.Options{Machines: machines, Zones: zones, ProxyAddress: f.startProxy, Prepare: f.prepare})
 	return f
--- a/test/soak/ledger.go
+++ b/test/soak/ledger.go
@@ -134,7 +134,9 @@
 	l.mu.Lock()
 	l.runs[id] = append(l.runs[id], run{s.ID(), now})
 	c := l.calls[id]
-	afterDrain := !ackedAt.IsZero() && now.Sub(ackedAt) > drainBound && !l.underFault(machine, ackedAt, now)
+	// The acknowledgement binds a restarted node too, once it is in touch again.
+	inTouch := !l.underFault(machine, now, now) && c != nil && !l.underFault(c.machine, now, now)
+	afterDrain := !ackedAt.IsZero() && now.Sub(ackedAt) > drainBound && (inTouch || !l.underFault(machine, ackedAt, now))
 	var sinceDisconnect time.Duration
 	if c != nil && !c.disconnected.IsZero() && !l.anyUnderFault(c.began, now) {
 		sinceDisconnect = now.Sub(c.disconnected)
@@ -186,7 +188,7 @@
 		if c.mismatch != "" {
 			note("MIXED", id, c, "%s", c.mismatch)
 		}
-		if c.status >= 400 && c.status < 500 && !impliesNotRun(c.status) && strings.HasPrefix(c.path, stablePrefix(c.once)) {
+		if c.status >= 400 && c.status < 500 && !impliesNotRun(c.status) && (c.once || strings.HasPrefix(c.path, stablePrefix(false))) {
 			note("DENIED", id, c, "answered %d", c.status)
 		}
 		faultFree := !l.anyUnderFault(c.began, c.ended)
@@ -201,6 +203,9 @@
 	return violations
 }
 
+// uploadPrefix is the prefix of the route of uploads.
+const uploadPrefix = "/upload/"
+
 // stablePrefix returns the prefix of a route that every configuration has.
 func stablePrefix(once bool) string {
 	if once {
