--- a/test/sidecar/server.go
+++ b/test/sidecar/server.go
@@ -230,10 +230,14 @@
 	return Announcement{path: "/instances/" + s.ID() + "/" + kind, body: body}
 }
 
+// announcer gives up an announcement after the time that a server waits for the
+// acknowledgement; the node may be paused.
+var announcer = &http.Client{Timeout: time.Second}
+
 // SendAnnouncement sends an announcement and reports whether it was acknowledged. While
 // the node is down, it is not; the next heartbeat retries.
 func (s *Server) SendAnnouncement(control string, a Announcement) bool {
-	response, err := http.Post("http://"+control+a.path, "application/json", bytes.NewReader(a.body))
+	response, err := announcer.Post("http://"+control+a.path, "application/json", bytes.NewReader(a.body))
 	if err != nil {
 		return false
 	}
