--- a/decision/presence/presence.go
+++ b/decision/presence/presence.go
@@ -2,8 +2,6 @@
 // late, out of order, or from an earlier process at the same address.
 package presence
 
-import "time"
-
 // State is the last known state of the server beside the node.
 type State struct {
 	Instance  string
@@ -25,15 +23,13 @@
 	LeaveNotice bool
 }
 
-// maxClockStep bounds how far the time of day of a machine may have been set back since
-// a server on it started.
-const maxClockStep = time.Minute
+// maxStart is the end of the year 2099 as a Unix time in ms.
+const maxStart = 4_102_444_800_000
 
-// PlausibleStart reports whether a server can have started at a Unix time in ms. A start
-// in the future would outrank all later ones.
-func PlausibleStart(startedAt int64, now time.Time) bool {
-	return startedAt >= 0 && startedAt <= now.Add(maxClockStep).UnixMilli()
-}
+// PlausibleStart reports whether a server can have started at a Unix time in ms. An absurd
+// start would outrank all later ones. It is not compared with the time of day, which may
+// jump.
+func PlausibleStart(startedAt int64) bool { return startedAt >= 0 && startedAt < maxStart }
 
 // Restore returns the state after the node has read the row that an earlier process of it
 // wrote. What that process acknowledged binds this one: a server that was leaving stays
