Wait for the first status of the config duty in its specs

Change: no status yet counts as version 0; the awaited version and the deadline are as before. The stack of the failure shows the line; not played on purpose.

--- a/plugins/configstore/store_test.go
+++ b/plugins/configstore/store_test.go
@@ -111,10 +111,18 @@
 	return 0
 }
 
+// inForce returns the version in the status, which the duty stores after the snapshot.
+func (n *node) inForce() mesh.Version {
+	if s := n.Status.Load(); s != nil {
+		return s.InForce
+	}
+	return 0
+}
+
 func (n *node) expectInForce(v mesh.Version) {
 	GinkgoHelper()
 	Eventually(n.version, "10s").Should(Equal(v))
-	Eventually(func() mesh.Version { return n.Status.Load().InForce }, "10s").Should(Equal(v))
+	Eventually(n.inForce, "10s").Should(Equal(v))
 }
 
 // waitProcessed waits until the duty has processed everything sent to it so far.
