Check that a 504 in a planned stop came at the deadline; apply a choice of source in one place

The spec of late requests in a planned stop took any 504, though its comment said 'at its deadline only', and no trace allowed more. The state after a choice of source was kept twice, in the duty and in the replay of a loss. Each change of any node's row decoded the node's own row though no announcement waited. Change: 504 counts only when the request's 4 s have passed; CurrentSource.Apply serves both; nothing is decoded while no announcement waits. Behaviour of the product is as before.

--- a/decision/replica/source.go
+++ b/decision/replica/source.go
@@ -26,6 +26,17 @@
 	return !c.Store && c.Peer == "" && c.Failures < maxFailures
 }
 
+// Apply makes a choice the present source.
+func (c *CurrentSource) Apply(choice SourceChoice) {
+	c.Store = choice.ReadStore
+	if choice.Peer == nil {
+		c.Peer = ""
+	}
+	if choice.ReadStore || choice.Peer != nil {
+		c.Failures = 0
+	}
+}
+
 // SourceChoice is the source from which a node reads rows.
 type SourceChoice struct {
 	ReadStore bool         // read from the store itself
--- a/decision/replica/source_test.go
+++ b/decision/replica/source_test.go
@@ -142,13 +142,7 @@
 		f.probe = nil
 	}
 	choice := Source(f.view, f.self, f.current, f.backoff, f.now)
-	f.current.Store = choice.ReadStore
-	if choice.Peer == nil {
-		f.current.Peer = ""
-	}
-	if choice.ReadStore || choice.Peer != nil {
-		f.current.Failures = 0
-	}
+	f.current.Apply(choice)
 	if choice.Probe != nil && f.probe == nil {
 		f.probe, f.probed = choice.Probe, f.now.Add(step)
 		if f.lost[f.probe.Node] {
--- a/plugins/storereplica/sync.go
+++ b/plugins/storereplica/sync.go
@@ -96,13 +96,7 @@
 	s.current.StoreLost = !s.Source.current(now)
 	choice := replica.Source(s.View.Load(), s.Identity, s.current, s.backoff, now)
 	s.Source.setReadStore(choice.ReadStore)
-	s.current.Store = choice.ReadStore
-	if choice.Peer == nil {
-		s.current.Peer = ""
-	}
-	if choice.ReadStore || choice.Peer != nil {
-		s.current.Failures = 0
-	}
+	s.current.Apply(choice)
 	if choice.Probe != nil && !s.probing {
 		s.probing = s.Probes.Send(ctx, choice.Probe) == nil
 	}
--- a/plugins/upstreambeats/announce.go
+++ b/plugins/upstreambeats/announce.go
@@ -102,9 +102,9 @@
 }
 
 // handle applies an announcement and acknowledges it, unless it is ignored because another
-// server is known. The state is in force before the
-// acknowledgement, so that a leaving server gets no new calls after it; that a server
-// leaves is also in the node's row, so that a later process of the node knows it.
+// server is known. The state is in force before the acknowledgement, so that a leaving
+// server gets no new calls after it; that a server leaves is also in the node's row, so that
+// a later process of the node knows it.
 func (t *tracker) handle(ctx context.Context, request announceRequest) {
 	n := &request.Payload
 	leaving := n.Draining || n.Final
@@ -137,6 +137,9 @@
 
 // acknowledge responds to a leaving server once the row says that it leaves.
 func (t *tracker) acknowledge() {
+	if len(t.unacknowledged) == 0 {
+		return // each change of any node's row comes here
+	}
 	if t.written != t.member.Endpoint {
 		if stored, ok := t.ownRow(); !ok || stored.Endpoint != t.member.Endpoint {
 			return
--- a/test/sidecar/sidecar_test.go
+++ b/test/sidecar/sidecar_test.go
@@ -215,6 +215,7 @@
 		var (
 			ran      sync.Map // by request id
 			answered sync.Map // status by request id
+			timedOut sync.Map // request ids whose deadline had passed at their answer
 			workers  sync.WaitGroup
 			last     atomic.Int64
 		)
@@ -230,12 +231,14 @@
 			r.Host = Host
 			r.Header.Set("Attempt-Id", id)
 			r.Header.Set("Deadline-Milliseconds", "4000")
+			sent := time.Now()
 			response, err := client.Do(r)
 			if err != nil {
 				return
 			}
 			defer func() { _ = response.Body.Close() }()
 			if _, err := io.ReadAll(response.Body); err == nil {
+				timedOut.Store(id, time.Since(sent) >= 4*time.Second)
 				answered.Store(id, response.StatusCode)
 			}
 		}
@@ -261,7 +264,11 @@
 		ran.Range(func(id, _ any) bool {
 			status, ok := answered.Load(id)
 			Expect(ok).To(BeTrue(), "%s ran and got no answer", id)
-			Expect(status).To(Or(Equal(http.StatusOK), Equal(http.StatusGatewayTimeout)), "%s ran", id) // 504 at its deadline only
+			if late, _ := timedOut.Load(id); late != true {
+				Expect(status).To(Equal(http.StatusOK), "%s ran", id)
+			} else {
+				Expect(status).To(Or(Equal(http.StatusOK), Equal(http.StatusGatewayTimeout)), "%s ran", id)
+			}
 			served++
 			return true
 		})
