Decode accounts, cold servers, evacuations and slowness; let an unknown value cost one entry

The adapter now decodes each entry by itself; what it does not understand is taken in the strictest known way, with one warning a version. Zones in evacuation get no requests, decided by the entry node's router and, for stale views, by the owner node.

--- a/decision/limit/slots.go
+++ b/decision/limit/slots.go
@@ -91,6 +91,7 @@
 	// holdTime is the moving average of the slot hold time of each rank, in ns.
 	// Ranks are separate so that a slow upload doesn't make reads look slow.
 	holdTime [rankCount]float64
+	slowness int // reported by the upstream, in percent; 0: unknown
 }
 
 type waiter struct {
@@ -368,13 +369,17 @@
 // Load returns the load report that is attached to responses. Its limit is 0 while no
 // upstream is known: a limit of 1 would look like an upstream with a single slot.
 func (s *Slots) Load() mesh.Load {
-	load := mesh.Load{InFlight: len(s.running), Queued: s.Waiting()}
+	load := mesh.Load{InFlight: len(s.running), Queued: s.Waiting(), Slowness: s.slowness}
 	if s.slots > 0 {
 		load.Limit = s.Limit()
 	}
 	return load
 }
 
+// SetSlowness records how long work takes on the upstream's instance, in percent of the
+// usual time.
+func (s *Slots) SetSlowness(percent int) { s.slowness = percent }
+
 // NextExpiry returns the earliest time at which Dispatch refuses a waiter, if
 // there is one.
 func (s *Slots) NextExpiry() (time.Time, bool) {
--- a/decision/routing/choose.go
+++ b/decision/routing/choose.go
@@ -43,26 +43,33 @@
 			"service %q has no usable upstream of version %q (%d tried)", q.Call.Service, preferred, len(q.Tried))
 	}
 	target := best.target()
-	target.Spillover = r.distance(&best.member) != sameZone && r.servedInZone(s, best.member.Endpoint.Version)
+	target.Spillover = r.distance(&best.member) != sameZone && r.servedInZone(s, best.member.Endpoint.Version, q)
 	return target, nil
 }
 
-// servedInZone reports whether this node's zone has a ready endpoint of a version.
-func (r *Router) servedInZone(s *service, v mesh.UpstreamVersion) bool {
+// servedInZone reports whether this node's zone has a ready endpoint of a version that may
+// get the call.
+func (r *Router) servedInZone(s *service, v mesh.UpstreamVersion, q *Query) bool {
 	for _, e := range s.endpoints {
-		if e.member.Endpoint.Version == v && e.member.Ready() && r.distance(&e.member) == sameZone {
+		if e.member.Endpoint.Version == v && e.member.Ready() && q.allows(&e.member) && r.distance(&e.member) == sameZone {
 			return true
 		}
 	}
 	return false
 }
 
+// allows reports whether the operator lets the call run at a member: its zone is not
+// being evacuated, and its region is one of the call's.
+func (q *Query) allows(m *mesh.Member) bool {
+	return !slices.Contains(q.Evacuated, m.Zone) && q.Call.Regions.Allow(m.Region)
+}
+
 // candidates returns the endpoints that may get a new call, by tier.
-func (r *Router) candidates(s *service, v mesh.UpstreamVersion, tried []mesh.NodeID, now time.Time) [tierCount][]*endpoint {
+func (r *Router) candidates(s *service, v mesh.UpstreamVersion, q *Query, now time.Time) [tierCount][]*endpoint {
 	var byTier [tierCount][]*endpoint
 	for _, e := range s.endpoints {
-		usable := e.member.Endpoint.Version == v && e.member.Ready() &&
-			!e.avoided(now) && !slices.Contains(tried, e.member.Node)
+		usable := e.member.Endpoint.Version == v && e.member.Ready() && q.allows(&e.member) &&
+			!e.avoided(now) && !slices.Contains(q.Tried, e.member.Node)
 		if usable {
 			t := r.distance(&e.member)
 			byTier[t] = append(byTier[t], e)
@@ -94,8 +101,8 @@
 // first tier where the best endpoint so far is sufficient; otherwise the lowest
 // score wins.
 func (r *Router) choose(s *service, v mesh.UpstreamVersion, q *Query, rnd Random, now time.Time) *endpoint {
-	byTier := r.candidates(s, v, q.Tried, now)
-	if !q.Call.SoftDeadline.IsZero() && r.servedInZone(s, v) {
+	byTier := r.candidates(s, v, q, now)
+	if !q.Call.SoftDeadline.IsZero() && r.servedInZone(s, v, q) {
 		r.dropRecentRefusals(&byTier, now)
 	}
 	var best *endpoint
--- a/decision/routing/router.go
+++ b/decision/routing/router.go
@@ -95,6 +95,8 @@
 	Call  *mesh.Call
 	Tried []mesh.NodeID // not chosen again
 	Draw  uint64        // random number, the same for all attempts of a call
+	// Evacuated holds the zones whose endpoints must get no calls.
+	Evacuated []mesh.Zone
 }
 
 // Router holds the state of the endpoints on one entry node. It has at most one
--- /dev/null
+++ b/mesh/account.go
@@ -0,0 +1,57 @@
+package mesh
+
+import "crypto/sha256"
+
+// AccountName identifies a client account.
+type AccountName string
+
+// Account is a client account of the configuration.
+type Account struct {
+	Name AccountName
+	// Rate is the number of requests per second over all nodes; 0: no limit.
+	Rate float64
+	// Burst is the number of requests that may exceed Rate at once.
+	Burst float64
+	// Priority ranks the account's calls above the priority of their routes; 0 is the
+	// highest. It applies only if HasPriority is set.
+	Priority    int
+	HasPriority bool
+	// Regions are the regions whose upstreams may get the account's calls; empty: all.
+	Regions []Region
+}
+
+// keyDigest is the SHA-256 of an account's key. Keys are looked up by digest, so that
+// the duration of a lookup tells nothing about the keys in force.
+type keyDigest [sha256.Size]byte
+
+// RequireAccounts makes requests need the key of an account, even if there is none.
+func (s *Snapshot) RequireAccounts() {
+	if s.Accounts == nil {
+		s.Accounts, s.accountByKey = map[AccountName]*Account{}, map[keyDigest]*Account{}
+	}
+}
+
+// AddAccount adds an account that any of the keys identifies. A key that already
+// identifies another account is not added, and AddAccount returns false.
+func (s *Snapshot) AddAccount(a Account, keys []string) bool {
+	s.RequireAccounts()
+	s.Accounts[a.Name] = &a
+	unique := true
+	for _, key := range keys {
+		digest := keyDigest(sha256.Sum256([]byte(key)))
+		if _, taken := s.accountByKey[digest]; taken || key == "" {
+			unique = false
+			continue
+		}
+		s.accountByKey[digest] = &a
+	}
+	return unique
+}
+
+// AccountByKey returns the account that a key identifies, or nil.
+func (s *Snapshot) AccountByKey(key string) *Account {
+	if key == "" {
+		return nil
+	}
+	return s.accountByKey[keyDigest(sha256.Sum256([]byte(key)))]
+}
--- a/mesh/call.go
+++ b/mesh/call.go
@@ -26,6 +26,10 @@
 	// otherwise the class decides.
 	Priority    int
 	HasPriority bool
+	// Account is the client account of the request; empty: none.
+	Account AccountName
+	// Regions bound the upstreams that may get the call.
+	Regions AllowedRegions
 	// BodyLength is the length of the request's body in bytes, if known.
 	BodyLength int64
 }
@@ -38,6 +42,9 @@
 	InFlight int
 	Queued   int
 	Limit    int // current limit of calls in flight, at most the slots
+	// Slowness is the time that work takes on the upstream's instance now, in percent
+	// of the usual time; 0: unknown.
+	Slowness int
 }
 
 // Target is the endpoint chosen for one attempt.
--- a/mesh/record.go
+++ b/mesh/record.go
@@ -69,9 +69,11 @@
 	ClassOnce   Class = "once"   // runs at most once
 	ClassUpload Class = "upload" // long-running, tolerates slow senders
 	ClassRead   Class = "read"   // may wait, is shed first
+	// ClassDownload is a read with a long response.
+	ClassDownload Class = "download"
 )
 
 // Idempotent reports whether calls of the class may run more than once. The class of
 // a route decides alone: the method of a request, which its client chooses, says
 // nothing about what the operator allows.
-func (c Class) Idempotent() bool { return c == ClassRead }
+func (c Class) Idempotent() bool { return c == ClassRead || c == ClassDownload }
--- a/mesh/snapshot.go
+++ b/mesh/snapshot.go
@@ -28,6 +28,11 @@
 	Limits EdgeLimits
 	// RetryByService charges retries to the service called instead of the caller.
 	RetryByService bool
+	// Accounts holds the client accounts. With a nil map no request needs a key.
+	Accounts     map[AccountName]*Account
+	accountByKey map[keyDigest]*Account
+	// Warnings names the parts of the configuration that were not understood.
+	Warnings []string
 }
 
 // EdgeLimits bound the requests and connections of callers.
@@ -45,6 +50,11 @@
 	Queue int
 	// HealthPath is the path of the upstreams' health check; empty: none.
 	HealthPath string
+	// ColdDuration is the time for which an upstream is cold after its start.
+	ColdDuration time.Duration
+	// ColdRate is the number of requests per second that a cold upstream tolerates; 0:
+	// no bound.
+	ColdRate float64
 }
 
 // Route is the compiled form of a route record of any schema.
@@ -66,6 +76,13 @@
 	// Priority ranks routes; 0 is the highest. It applies only if HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// Anonymous routes need no key of an account.
+	Anonymous bool
+	// Regions are the regions whose upstreams may get the route's calls; empty: all.
+	Regions []Region
+	// Unusable is set for a route whose entry in the configuration was not understood.
+	// Its calls are refused; without it they would match a shorter prefix.
+	Unusable bool
 }
 
 // ServiceShare is one service's part in the split of a route.
@@ -132,6 +149,9 @@
 
 // Services returns the services that may receive the route's calls.
 func (r *Route) Services() []ServiceID {
+	if r.Unusable {
+		return nil
+	}
 	if len(r.Split) == 0 {
 		return []ServiceID{r.Service}
 	}
--- a/plugins/callrelay/entry.go
+++ b/plugins/callrelay/entry.go
@@ -80,6 +80,9 @@
 		return c, result.NoRoute.Errorf("no route matches %s%s in version %d", r.Host, path, snapshot.Version)
 	}
 	c.route, c.version = route, snapshot.Version
+	if route.Unusable {
+		return c, result.RouteUnusable.Errorf("route %q was not understood in version %d", route.ID, snapshot.Version)
+	}
 	timeout := route.Timeout
 	if remaining, err := strconv.ParseInt(r.Header.Get(e.Headers.DeadlineMS), 10, 64); err == nil {
 		timeout = min(timeout, max(time.Duration(remaining)*time.Millisecond, 0))
@@ -92,7 +95,7 @@
 		Method: r.Method, Path: path, Caller: mesh.CallerID(e.PlatformSettings.Service), Key: id, Class: route.Class,
 		Service: route.ServiceFor(rand.Float64()), Route: route.ID, Deadline: r.Arrived.Add(timeout),
 		SoftDeadline: r.Arrived.Add(target), StartBy: r.Arrived.Add(max(time.Duration(startByShare*float64(target)), min(minStartWindow, timeout/2))),
-		Priority: route.Priority, HasPriority: route.HasPriority, BodyLength: r.Length, Fingerprint: fingerprint(r, e.PlatformSettings.Service),
+		Priority: route.Priority, HasPriority: route.HasPriority, BodyLength: r.Length, Regions: mesh.AllowedRegions{Route: route.Regions}, Fingerprint: fingerprint(r, e.PlatformSettings.Service),
 	}
 	if !c.call.Deadline.After(time.Now()) {
 		return c, result.DeadlineBefore.Err()
--- a/plugins/callrelay/owner.go
+++ b/plugins/callrelay/owner.go
@@ -117,8 +117,8 @@
 
 func (o *owner) release(released port.SlotRelease) { port.Release(o.Release, released, o.Logger) }
 
-// send runs the attempt on the server. It returns a load only with a rejected response,
-// such as a refusal, that reports one.
+// send runs the attempt on the server. It returns the load that the server reported with
+// its response, also with a rejected one.
 func (o *owner) send(ctx context.Context, a *wire.Attempt, incoming *port.Request, admitted port.Admission) (*port.Response, *mesh.Load, error) {
 	request := outgoingRequest(incoming.Request)
 	h := request.Header
@@ -150,7 +150,7 @@
 		}
 		return nil, o.Headers.ReadLoad(response.Header), err
 	}
-	return response, nil, nil
+	return response, o.Headers.ReadLoad(response.Header), nil
 }
 
 // checkResponse checks that a server's response is valid. The error's code
--- a/plugins/callrouter/router.go
+++ b/plugins/callrouter/router.go
@@ -31,6 +31,7 @@
 	Splits           *port.SplitsCell       `optional:"true"`
 	Samples          *port.SampleRing       `optional:"true"`
 	PlatformSettings *port.PlatformSettings `optional:"true"`
+	Evacuations      *port.EvacuationsCell  `optional:"true"`
 	Metrics          metrics.Registry
 }
 
@@ -180,6 +181,11 @@
 		}
 	}
 	query := &routing.Query{Call: &q.Call, Tried: q.Tried, Draw: routing.CallDraw(d.seed, &q.Call)}
+	if d.in.Evacuations != nil {
+		if evacuations := d.in.Evacuations.Load(); evacuations != nil {
+			query.Evacuated = evacuations.Zones
+		}
+	}
 	return d.router.Pick(query, splits, d.rnd, now)
 }
 
--- a/plugins/callslots/slots.go
+++ b/plugins/callslots/slots.go
@@ -32,6 +32,8 @@
 	Snapshot         *port.SnapshotCell
 	Load             *port.LoadCell
 	PlatformSettings *port.PlatformSettings `optional:"true"`
+	Evacuations      *port.EvacuationsCell  `optional:"true"`
+	Identity         mesh.Identity          `optional:"true"`
 	Pushes           *port.PushRing         `optional:"true"`
 	Audit            *port.AuditRing        `optional:"true"`
 	Metrics          metrics.Registry
@@ -125,7 +127,7 @@
 		d.refuse(request, err)
 		return
 	}
-	err := d.upstream.checkTarget(q)
+	err := d.checkTarget(q)
 	if err == nil && q.Call.Fingerprint != 0 && d.quarantine.Blocked(q.Call.Service, q.Call.Fingerprint, now) {
 		err = result.Quarantined.Err()
 	}
@@ -208,7 +210,7 @@
 // have been replaced while the attempt waited.
 func (d *duty) start(id mesh.AttemptID) bool {
 	a := d.active[id]
-	if err := d.upstream.checkTarget(&a.request.Payload); err != nil {
+	if err := d.checkTarget(&a.request.Payload); err != nil {
 		d.drop(id, err)
 		return false
 	}
@@ -234,6 +236,9 @@
 	delete(d.active, released.Attempt)
 	d.attempts.End(released.Attempt)
 	call := &a.request.Payload.Call
+	if released.Load != nil && released.Load.Slowness > 0 {
+		d.slots.SetSlowness(released.Load.Slowness)
+	}
 	if released.Unreachable {
 		d.slots.Abandon(released.Attempt)
 		d.upstream.recordDown(a.process, now)
--- a/plugins/callslots/upstream.go
+++ b/plugins/callslots/upstream.go
@@ -43,6 +43,14 @@
 	at          time.Time
 }
 
+// checkTarget returns an error if the attempt must not run here now.
+func (d *duty) checkTarget(q *port.Admit) error {
+	if d.in.Evacuations != nil && d.in.Evacuations.Load().Has(d.in.Identity.Zone) {
+		return result.Evacuated.Errorf("availability zone %q is being evacuated", d.in.Identity.Zone)
+	}
+	return d.upstream.checkTarget(q)
+}
+
 // checkTarget checks that the entry node chose the service and version that run
 // here now. The view of an entry node lags; the refusal makes it choose again.
 func (u *upstream) checkTarget(q *port.Admit) error {
--- a/plugins/configrows/setup.go
+++ b/plugins/configrows/setup.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/phuslu/log"
@@ -33,6 +34,7 @@
 				fx.Provide(
 					func() *port.SnapshotCell { return new(port.SnapshotCell) },
 					func() *port.OrdersCell { return new(port.OrdersCell) },
+					func() *port.EvacuationsCell { return new(port.EvacuationsCell) },
 				),
 				port.ProvideRowsSubscriber(wakeRing, func(r *kernel.Ring[port.RowsChanged]) wake { return wake{r} }),
 				kernel.ProvideDuty(newDuty),
@@ -58,6 +60,7 @@
 	Operator port.OperatorRows
 	Snapshot *port.SnapshotCell
 	Orders   *port.OrdersCell
+	Zones    *port.EvacuationsCell
 	Changed  *port.OrdersChangedRing
 	Logger   *log.Logger
 	Metrics  metrics.Registry
@@ -68,21 +71,24 @@
 	dutyIn
 	processed map[string]uint64 // last revision processed of each row
 	version   metrics.Gauge
+	warnings  metrics.Gauge
 }
 
 func newDuty(in dutyIn) kernel.Duty {
 	d := &duty{
 		dutyIn: in, processed: map[string]uint64{},
-		version: metrics.NewRegisteredGauge("config.version", in.Metrics),
+		version:  metrics.NewRegisteredGauge("config.version", in.Metrics),
+		warnings: metrics.NewRegisteredGauge("config.not_understood", in.Metrics),
 	}
 	return kernel.Duty{
-		Name: "config", Owns: "the configuration in force, the operator's orders",
+		Name: "config", Owns: "the configuration in force, the operator's orders and evacuations",
 		In: []string{wakeRing}, Out: []string{in.Changed.Info().Name}, Run: d.run,
 	}
 }
 
 func (d *duty) run(ctx context.Context) error {
 	return d.Wake.ring.Each(ctx, func(port.RowsChanged) {
+		d.updateEvacuations() // before a configuration lets calls begin
 		before := d.Orders.Load()
 		d.Rows.Load().Each(string(d.Table), d.processRow)
 		if d.Orders.Load() != before {
@@ -91,6 +97,34 @@
 	})
 }
 
+// updateEvacuations publishes the zones that are being evacuated. A zone whose row was
+// removed is in use again.
+func (d *duty) updateEvacuations() {
+	next := &port.Evacuations{}
+	d.Rows.Load().Each(string(d.Table), func(r replica.Row) {
+		if zone, ok := d.Operator.Evacuation(r.Key); ok {
+			next.Zones = append(next.Zones, zone)
+		}
+	})
+	slices.Sort(next.Zones)
+	current := d.Zones.Load()
+	if current != nil && slices.Equal(current.Zones, next.Zones) {
+		return
+	}
+	d.Zones.Store(next)
+	if current != nil || len(next.Zones) > 0 {
+		d.Logger.Info().Strs("zones", zoneNames(next.Zones)).Msg("zones in evacuation changed")
+	}
+}
+
+func zoneNames(zones []mesh.Zone) []string {
+	names := make([]string, len(zones))
+	for i, zone := range zones {
+		names[i] = string(zone)
+	}
+	return names
+}
+
 // processRow decodes and applies a row of the operator if its revision is new.
 func (d *duty) processRow(r replica.Row) {
 	if r.Revision <= d.processed[r.Key] {
@@ -120,6 +154,10 @@
 	}
 	d.Snapshot.Store(s)
 	d.version.Update(int64(s.Version))
+	d.warnings.Update(int64(len(s.Warnings)))
+	if len(s.Warnings) > 0 {
+		d.Logger.Warn().Uint64("version", uint64(s.Version)).Strs("parts", s.Warnings).Msg("configuration understood in part")
+	}
 	d.Logger.Info().Uint64("version", uint64(s.Version)).Uint64("revision", r.Revision).
 		Int("routes", len(s.Routes)).Int("services", len(s.Services)).Msg("configuration in force")
 }
--- a/port/calls.go
+++ b/port/calls.go
@@ -89,7 +89,7 @@
 	Attempt        mesh.AttemptID
 	Status         int        // HTTP status of the upstream, 0 without a response
 	Shed           bool       // the upstream refused the attempt
-	Load           *mesh.Load // reported by the upstream with its refusal; nil: none
+	Load           *mesh.Load // reported by the upstream with its response; nil: none
 	ConnectionLost bool       // the connection to the upstream broke
 	Unreachable    bool       // nothing listens on the upstream's address
 }
--- a/port/deployment.go
+++ b/port/deployment.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"teaselring/kernel"
@@ -33,6 +34,25 @@
 	ExposureShare float64
 	ExposureSlack float64
 
+	// In any AccountWindow an account may exceed its limit, over all nodes together, by
+	// the share AccountOverage and AccountSlack requests.
+	AccountWindow  time.Duration
+	AccountOverage float64
+	AccountSlack   float64
+
+	// A cold upstream may get ColdOverage times its cold rate and ColdSlack requests in
+	// any second, from all nodes together.
+	ColdOverage float64
+	ColdSlack   float64
+
+	// EvacuationBound is the time after which no request may reach the upstreams of a
+	// zone that is being evacuated.
+	EvacuationBound time.Duration
+
+	// MemoryBytes and FileDescriptors are the limits of the process; 0: unknown.
+	MemoryBytes     int64
+	FileDescriptors int
+
 	WriteRate float64 // transactions per second of all nodes in one part of the store
 
 	DrainTime time.Duration // from the acknowledged leave of an upstream until it must get no more work
@@ -48,6 +68,9 @@
 	Instance   string // id of the upstream that responded
 	NotRun     string // an upstream's statement that it did not run the request
 	Caller     string // service of the instance where the request originated
+	AccountKey string // a client's secret key, which identifies its account
+	Account    string // name of the account, for the upstream
+	ColdMS     string // how long an upstream stays cold, in a health response, in ms
 	// ReadLoad returns the load that an upstream reports with a response, nil for none.
 	ReadLoad func(http.Header) *mesh.Load
 }
@@ -69,7 +92,9 @@
 	Zone      mesh.Zone
 	Slots     int
 	Draining  bool
-	Final     bool // the last announcement before the upstream leaves
+	// ColdRemaining is how much longer the upstream is cold.
+	ColdRemaining time.Duration
+	Final         bool // the last announcement before the upstream leaves
 }
 
 // AnnounceRing leads from the control edge to the announce duty. A response means
@@ -89,6 +114,15 @@
 // wakes it too, but perhaps before the orders are decoded.
 type OrdersChangedRing = kernel.Ring[OrdersChanged]
 
+// Evacuations are the availability zones whose upstreams must get no requests.
+type Evacuations struct{ Zones []mesh.Zone } // sorted
+
+// Has reports whether a zone is being evacuated.
+func (e *Evacuations) Has(z mesh.Zone) bool { return e != nil && slices.Contains(e.Zones, z) }
+
+// EvacuationsCell is owned by the config duty; nil before the operator's rows are known.
+type EvacuationsCell = kernel.Cell[Evacuations]
+
 // OperatorRows decodes the rows that the operator writes and encodes those that it
 // reads.
 type OperatorRows interface {
@@ -96,6 +130,9 @@
 	Snapshot(key string, value []byte) (s *mesh.Snapshot, ok bool, err error)
 	// Order decodes an order; ok is false for a row that holds none.
 	Order(key string, value []byte) (o mesh.Order, ok bool, err error)
+	// Evacuation decodes the order to evacuate an availability zone; ok is false for a
+	// row that holds none.
+	Evacuation(key string) (zone mesh.Zone, ok bool)
 	// Status encodes the state of an order for the operator.
 	Status(service mesh.ServiceID, target mesh.UpstreamVersion, phase mesh.MovePhase) Put
 }
--- a/result/code.go
+++ b/result/code.go
@@ -74,6 +74,9 @@
 	UpstreamLost     = define(1024, "upstream_lost", MayHaveRun, RetryIfIdempotent, 502, "The connection to the upstream ended during the call.")
 	BodyTooLarge     = define(1025, "body_too_large", NotRun, RetryAfterChange, 413, "The request exceeds a size limit.")
 	AttemptDuplicate = define(1026, "attempt_duplicate", MayHaveRun, RetryNever, 409, "An attempt with this id has already been admitted.")
+	Evacuated        = define(1027, "evacuated", NotRun, RetrySafe, 503, "The availability zone of the upstream is being evacuated.")
+	RouteUnusable    = define(1028, "route_unusable", NotRun, RetryAfterChange, 503, "The configuration in force holds a value for the route that this node does not know.")
+	AccountLimit     = define(1029, "account_limit", NotRun, RetrySafe, 429, "The client account has reached its limit over all nodes.")
 
 	InvalidRecord    = define(2001, "invalid_record", NotACall, RetryAfterChange, 422, "A record is invalid; nothing was written.")
 	DanglingRef      = define(2002, "dangling_reference", NotACall, RetryAfterChange, 422, "A record refers to a record that does not exist.")
--- a/test/sidecar/store.go
+++ b/test/sidecar/store.go
@@ -136,6 +136,15 @@
 	s.notifyFeeds()
 }
 
+// Remove removes a row as the operator does.
+func (s *Store) Remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.put(row{Table: table, Key: key, Deleted: true})
+	s.notifyFeeds()
+}
+
 // put writes or deletes a row at the current version. The caller holds mu.
 func (s *Store) put(r row) {
 	r.ObjectVersion = s.version
--- a/wire/attempt.go
+++ b/wire/attempt.go
@@ -25,6 +25,7 @@
 	HeaderRoute        = "Teasel-Route"
 	HeaderCaller       = "Teasel-Caller"
 	HeaderFingerprint  = "Teasel-Fingerprint"
+	HeaderAccount      = "Teasel-Account"
 	HeaderLoad         = "Teasel-Load"
 	HeaderServerTime   = "Teasel-Server-Time" // of the response, in µs
 	HeaderKey          = "Idempotency-Key"
@@ -52,6 +53,9 @@
 	if a.Call.Caller != "" {
 		h.Set(HeaderCaller, string(a.Call.Caller))
 	}
+	if a.Call.Account != "" {
+		h.Set(HeaderAccount, string(a.Call.Account))
+	}
 	if !a.Call.StartBy.IsZero() {
 		h.Set(HeaderStartBy, FormatRemaining(a.Call.StartBy, now))
 	}
@@ -90,6 +94,7 @@
 			Key: h.Get(HeaderKey), Class: mesh.Class(h.Get(HeaderClass)),
 			Service: mesh.ServiceID(h.Get(HeaderService)), Route: mesh.RouteID(h.Get(HeaderRoute)),
 			Deadline: now.Add(time.Duration(leftMS) * time.Millisecond), Fingerprint: fingerprint,
+			Account: mesh.AccountName(h.Get(HeaderAccount)),
 		},
 		Target: mesh.Target{
 			Incarnation: mesh.Incarnation(incarnation),
@@ -128,17 +133,31 @@
 	return nil
 }
 
-// FormatLoad encodes a load as "in flight,queued,limit".
+// FormatLoad encodes a load as "in flight,queued,limit", followed by the slowness if it
+// is known.
 func FormatLoad(l mesh.Load) string {
+	if l.Slowness > 0 {
+		return fmt.Sprintf("%d,%d,%d,%d", l.InFlight, l.Queued, l.Limit, l.Slowness)
+	}
 	return fmt.Sprintf("%d,%d,%d", l.InFlight, l.Queued, l.Limit)
 }
 
-// ParseLoad decodes a load. It returns nil when s is empty or malformed.
+// ParseLoad decodes a load. It returns nil when s is empty or malformed. Figures after
+// the fourth are ignored.
 func ParseLoad(s string) *mesh.Load {
 	var l mesh.Load
-	if _, err := fmt.Sscanf(s, "%d,%d,%d", &l.InFlight, &l.Queued, &l.Limit); err != nil {
+	fields := []*int{&l.InFlight, &l.Queued, &l.Limit, &l.Slowness}
+	parts := strings.Split(s, ",")
+	if len(parts) < len(fields)-1 {
 		return nil
 	}
+	for i, part := range parts[:min(len(parts), len(fields))] {
+		n, err := strconv.Atoi(strings.TrimSpace(part))
+		if err != nil {
+			return nil
+		}
+		*fields[i] = n
+	}
 	return &l
 }
 
--- a/wire/attempt_test.go
+++ b/wire/attempt_test.go
@@ -5,6 +5,8 @@
 	"net/url"
 	"testing"
 	"time"
+
+	"teaselring/mesh"
 )
 
 // FuzzAttempt guards against a panic on the headers of a call between nodes, and
@@ -44,3 +46,25 @@
 		}
 	})
 }
+
+// The fourth figure tells that work takes longer on the upstream's instance. It was
+// dropped, so that calls went on to instances that were slow at that moment.
+func TestLoad(t *testing.T) {
+	for text, want := range map[string]*mesh.Load{
+		"3,1,6":       {InFlight: 3, Queued: 1, Limit: 6},
+		"3,1,6,250":   {InFlight: 3, Queued: 1, Limit: 6, Slowness: 250},
+		"3, 1, 6,250": {InFlight: 3, Queued: 1, Limit: 6, Slowness: 250},
+		"3,1,6,90,x":  {InFlight: 3, Queued: 1, Limit: 6, Slowness: 90},
+		"3,1":         nil,
+		"3,x,6":       nil,
+		"":            nil,
+	} {
+		got := ParseLoad(text)
+		if (got == nil) != (want == nil) || got != nil && *got != *want {
+			t.Errorf("%q was decoded as %+v", text, got)
+		}
+		if got != nil && *ParseLoad(FormatLoad(*got)) != *got {
+			t.Errorf("%q changed when it was written and read again", text)
+		}
+	}
+}
