--- a/plugins/configrows/setup.go
+++ b/plugins/configrows/setup.go
@@ -72,13 +72,15 @@
 	processed map[string]uint64 // last revision processed of each row
 	version   metrics.Gauge
 	warnings  metrics.Gauge
+	evacuated metrics.Gauge // zones
 }
 
 func newDuty(in dutyIn) kernel.Duty {
 	d := &duty{
 		dutyIn: in, processed: map[string]uint64{},
 		version:  metrics.NewRegisteredGauge("config.version", in.Metrics),
-		warnings: metrics.NewRegisteredGauge("config.not_understood", in.Metrics),
+		warnings:  metrics.NewRegisteredGauge("config.not_understood", in.Metrics),
+		evacuated: metrics.NewRegisteredGauge("config.zones_evacuated", in.Metrics),
 	}
 	return kernel.Duty{
 		Name: "config", Owns: "the configuration in force, the operator's orders and evacuations",
@@ -112,6 +114,7 @@
 		return
 	}
 	d.Zones.Store(next)
+	d.evacuated.Update(int64(len(next.Zones)))
 	if current != nil || len(next.Zones) > 0 {
 		d.Logger.Info().Strs("zones", zoneNames(next.Zones)).Msg("zones in evacuation changed")
 	}
