--- a/plugins/configrows/setup.go
+++ b/plugins/configrows/setup.go
@@ -78,7 +78,7 @@
 func newDuty(in dutyIn) kernel.Duty {
 	d := &duty{
 		dutyIn: in, processed: map[string]uint64{},
-		version:  metrics.NewRegisteredGauge("config.version", in.Metrics),
+		version:   metrics.NewRegisteredGauge("config.version", in.Metrics),
 		warnings:  metrics.NewRegisteredGauge("config.not_understood", in.Metrics),
 		evacuated: metrics.NewRegisteredGauge("config.zones_evacuated", in.Metrics),
 	}
