Bound the requests that a cold server gets in any second

Cause: cold servers got all calls that fitted into their slots, up to 36 in a second where 27 are allowed, and crashed 276 times in 30 s after a power loss. The node beside the server now paces the starts of new and queued calls while the server is cold, refuses at once what can't start in time, and reports a lower limit. A server counts as cold when it says so, when it was not heard, and after a refused connection, a loss of its connections or the evacuation of its zone. Services without a cold rate have no bound.

--- a/decision/limit/slots.go
+++ b/decision/limit/slots.go
@@ -92,6 +92,11 @@
 	// Ranks are separate so that a slow upload doesn't make reads look slow.
 	holdTime [rankCount]float64
 	slowness int // reported by the upstream, in percent; 0: unknown
+
+	startBound  StartBound // nil: none
+	meanHold    float64    // moving average of the hold times of all ranks, in ns
+	concurrency int        // of StartBound at the last Dispatch; 0: no bound
+	refusedCold int64
 }
 
 type waiter struct {
@@ -164,7 +169,11 @@
 		return nil, result.DeadlineBefore.Err()
 	}
 	w := waiter{Request: q, enqueuedAt: now, latestStart: s.latestStart(&q, now)}
-	if !s.canStart(q.rank()) {
+	nextStart := s.boundStart(s.ahead(q.rank())+1, now)
+	if nextStart.After(w.latestStart) {
+		return nil, s.refuseCold(&w, nextStart, now)
+	}
+	if !s.canStart(q.rank()) || nextStart.After(now) {
 		return s.enqueueWaiting(w)
 	}
 	s.push(w)
@@ -176,7 +185,7 @@
 	if r == rankUpload && len(s.queue[rankUpload]) >= half(s.maxQueue) {
 		return nil, result.ClassLimit.Errorf("%d uploads are running and %d are queued", s.runningUploads, len(s.queue[rankUpload]))
 	}
-	if expected := s.expectedWait(r); w.enqueuedAt.Add(expected).After(w.latestStart) {
+	if expected := s.expectedWait(r); !s.canStart(r) && w.enqueuedAt.Add(expected).After(w.latestStart) {
 		return nil, result.QueueFull.Errorf("the expected wait of %v exceeds the deadline", expected)
 	}
 	var evicted *Refusal
@@ -209,19 +218,26 @@
 // expectedWait estimates the queue wait of a new call of a rank: the calls ahead
 // of it and itself, each holding one of Limit slots for the average hold time.
 func (s *Slots) expectedWait(r rank) time.Duration {
-	ahead := 1
+	return time.Duration(float64(s.ahead(r)+1) * s.holdTime[r] / float64(s.Limit()))
+}
+
+// ahead returns the number of queued calls that start before a new one of a rank.
+func (s *Slots) ahead(r rank) (calls int) {
 	for higher := r; higher < rankCount; higher++ {
-		ahead += len(s.queue[higher])
+		calls += len(s.queue[higher])
 	}
-	return time.Duration(float64(ahead) * s.holdTime[r] / float64(s.Limit()))
+	return calls
 }
 
 // Dispatch refuses the queued calls that have expired, then starts as many as
 // there are free slots, the highest rank first.
 func (s *Slots) Dispatch(now time.Time) (started []mesh.AttemptID, refused []Refusal) {
-	refused = s.expire(now)
+	refused = append(s.expire(now), s.expireBound(now)...)
+	if s.startBound != nil {
+		s.concurrency = s.startBound.Concurrency(time.Duration(s.meanHold), now)
+	}
 	for r := rankCount - 1; r >= rankRead; r-- {
-		for len(s.queue[r]) > 0 && s.canStart(r) {
+		for len(s.queue[r]) > 0 && s.canStart(r) && !s.boundStart(1, now).After(now) {
 			w := s.queue[r][0]
 			s.queue[r] = s.queue[r][1:]
 			s.start(w, now)
@@ -246,6 +262,9 @@
 		s.runningUploads++
 	}
 	s.running[w.Attempt] = runningCall{rank: r, startedAt: now}
+	if s.startBound != nil {
+		s.startBound.Started(now)
+	}
 }
 
 // expire removes and returns the waiters that must no longer start.
@@ -286,9 +305,10 @@
 	return removed
 }
 
-// filterQueues keeps the waiters for which keep returns true, in order.
+// filterQueues keeps the waiters for which keep returns true. It visits the more important
+// ones first, in the order in which they start.
 func (s *Slots) filterQueues(keep func(*waiter) bool) {
-	for r := range s.queue {
+	for r := rankCount - 1; r >= rankRead; r-- {
 		kept := s.queue[r][:0]
 		for i := range s.queue[r] {
 			if keep(&s.queue[r][i]) {
@@ -320,11 +340,16 @@
 		return
 	}
 	s.adaptiveLimit.increase(full, s.slots)
-	held, mean := float64(now.Sub(r.startedAt)), &s.holdTime[r.rank]
+	held := float64(now.Sub(r.startedAt))
+	addSample(&s.holdTime[r.rank], held)
+	addSample(&s.meanHold, held)
+}
+
+func addSample(mean *float64, sample float64) {
 	if *mean == 0 {
-		*mean = held
+		*mean = sample
 	}
-	*mean += holdTimeWeight * (held - *mean)
+	*mean += holdTimeWeight * (sample - *mean)
 }
 
 // overloaded reports whether an upstream refused a call for lack of slots. If it
@@ -357,6 +382,9 @@
 // slots.
 func (s *Slots) Limit() int { return s.adaptiveLimit.current(s.slots) }
 
+// Running returns the number of calls in flight.
+func (s *Slots) Running() int { return len(s.running) }
+
 // Waiting returns the queue length.
 func (s *Slots) Waiting() int {
 	n := 0
@@ -367,12 +395,16 @@
 }
 
 // Load returns the load report that is attached to responses. Its limit is 0 while no
-// upstream is known: a limit of 1 would look like an upstream with a single slot.
+// upstream is known: a limit of 1 would look like an upstream with a single slot. It is
+// reduced while StartBound bounds the concurrency, so that entry nodes send less.
 func (s *Slots) Load() mesh.Load {
 	load := mesh.Load{InFlight: len(s.running), Queued: s.Waiting(), Slowness: s.slowness}
 	if s.slots > 0 {
 		load.Limit = s.Limit()
 	}
+	if s.concurrency > 0 {
+		load.Limit = min(load.Limit, s.concurrency)
+	}
 	return load
 }
 
--- a/plugins/callslots/slots.go
+++ b/plugins/callslots/slots.go
@@ -47,6 +47,7 @@
 	slots      *limit.Slots
 	attempts   *limit.Attempts
 	quarantine *quarantine.Table
+	cold       coldState
 	active     map[mesh.AttemptID]*attempt // waiting or running
 	upstream   upstream
 	self       self
@@ -67,12 +68,14 @@
 		attempts:   limit.NewAttempts(limit.MaxAttempts),
 		quarantine: quarantine.New(in.Settings.quarantine()),
 		active:     map[mesh.AttemptID]*attempt{},
+		cold:       newColdState(in.Metrics),
 		started:    metrics.NewRegisteredCounter("slots.started", in.Metrics),
 		refused:    metrics.NewRegisteredCounter("slots.refused", in.Metrics),
 		fenced:     metrics.NewRegisteredCounter("slots.fenced", in.Metrics),
 	}
+	d.slots.SetStartBound(d.cold.gate)
 	return kernel.Duty{
-		Name: "slots", Owns: "slots and queue of the local upstream, attempt table, quarantine",
+		Name: "slots", Owns: "slots and queue of the local upstream, whether it is cold, attempt table, quarantine",
 		In: []string{admitRing, releaseRing, settleRing, crashRing}, Out: []string{pushRing, auditRing},
 		Run: d.run,
 	}
@@ -109,6 +112,9 @@
 	if deadline, waiting := d.slots.NextExpiry(); waiting {
 		next = min(next, max(0, deadline.Sub(now)))
 	}
+	if start, waiting := d.slots.NextStart(now); waiting {
+		next = min(next, max(0, start.Sub(now)))
+	}
 	return next
 }
 
@@ -195,7 +201,7 @@
 		}
 		for _, id := range started {
 			if !d.start(id) {
-				d.slots.Abandon(id)
+				d.slots.Withdraw(id)
 				again = true
 			}
 		}
@@ -240,13 +246,17 @@
 		d.slots.SetSlowness(released.Load.Slowness)
 	}
 	if released.Unreachable {
-		d.slots.Abandon(released.Attempt)
+		d.slots.Withdraw(released.Attempt)
+		d.cold.gate.Suspect(now)
 		d.upstream.recordDown(a.process, now)
 		return
 	}
 	if released.ConnectionLost {
 		d.slots.Abandon(released.Attempt) // no sample of the upstream's latency
 		d.upstream.recordLost(a.process, call.Fingerprint, now)
+		if a.process == d.upstream.local.Endpoint.Process {
+			d.cold.gate.ConnectionLost(d.slots.Running(), now)
+		}
 		return
 	}
 	d.slots.Release(released.Attempt, released.Shed, released.Load, now)
--- a/plugins/callslots/slots_test.go
+++ b/plugins/callslots/slots_test.go
@@ -33,6 +33,8 @@
 	Pushes   *port.PushRing
 	Audit    *port.AuditRing
 	local    port.LocalCell
+	snapshot *port.SnapshotCell
+	zones    *port.EvacuationsCell
 }
 
 func startNode(queueWait string) *node {
@@ -40,12 +42,14 @@
 	parsed, err := kernel.Parse("test.toml", []byte(settings))
 	Expect(err).NotTo(HaveOccurred())
 	n := &node{}
-	view, snapshot := new(port.ViewCell), new(port.SnapshotCell)
+	view := new(port.ViewCell)
+	n.snapshot, n.zones = new(port.SnapshotCell), new(port.EvacuationsCell)
 	view.Store(&mesh.View{Self: "a", Members: []mesh.Member{{Node: "a", Incarnation: incarnation}}})
-	snapshot.Store(&mesh.Snapshot{Services: map[mesh.ServiceID]mesh.Service{"stock": {Slots: 1, Queue: 1}}})
+	n.snapshot.Store(&mesh.Snapshot{Services: map[mesh.ServiceID]mesh.Service{"stock": {Slots: 1, Queue: 1}}})
 	app := fx.New(
 		kernel.Options(parsed, kernel.NewLogger(io.Discard)),
-		fx.Supply(view, snapshot, &n.local),
+		fx.Supply(view, n.snapshot, n.zones, mesh.Identity{Zone: "z"}, &n.local),
+		fx.Supply(&port.PlatformSettings{ColdOverage: 1, ColdSlack: 8}),
 		kernel.ProvideRing[port.Push]("links.push", 8, kernel.ReplaceOldest),
 		kernel.ProvideRing[port.AuditEntry]("audit.entries", 8, kernel.WaitUntilDeadline),
 		fx.Populate(&n.Admits, &n.Releases, &n.Settles, &n.Crashes, &n.Load, &n.Pushes, &n.Audit),
--- a/plugins/callslots/upstream.go
+++ b/plugins/callslots/upstream.go
@@ -114,6 +114,7 @@
 	if !u.crashReportAt.IsZero() && !now.Before(u.crashReportAt) {
 		d.reportCrash(ctx, now)
 	}
+	d.refreshCold(now)
 	d.slots.Resize(d.capacity(&after))
 	d.slots.SetDraining(u.refusesNewWork(now, drainGrace(d.in.Settings, d.in.PlatformSettings)))
 }
--- a/plugins/upstreambeats/announce.go
+++ b/plugins/upstreambeats/announce.go
@@ -29,6 +29,7 @@
 	RowChanges       rowChanges
 	RowUpdates       *rowUpdateRing
 	Written          *writtenRing
+	Health           *healthReportRing
 	Self             *port.SelfRing
 	Local            *port.LocalCell
 	Rows             *port.RowsCell
@@ -54,6 +55,7 @@
 	unacknowledged []announceRequest
 	written        mesh.Endpoint // in the row that was written last
 	client         *http.Client
+	heard          hearing
 	healthChecks   int
 }
 
@@ -64,13 +66,11 @@
 			Node: in.Identity.Node, Incarnation: mesh.Incarnation(time.Now().UnixNano()), Zone: in.Identity.Zone,
 			Region: in.Identity.Region, PeerAddress: in.PlatformSettings.Inbound.String(), State: mesh.NodeAlive,
 		},
-		client: &http.Client{Timeout: healthCheckTimeout, Transport: &http.Transport{
-			DisableKeepAlives: true, MaxResponseHeaderBytes: port.MaxHeadBytes,
-		}},
+		client: newHealthClient(),
 	}
 	return kernel.Duty{
 		Name: "announce", Owns: "the state of the server beside the node",
-		In: []string{announceRing, rowChangesRing, writtenRowRing}, Out: []string{selfRing, rowRing}, Run: t.run,
+		In: []string{announceRing, rowChangesRing, writtenRowRing, healthRing}, Out: []string{selfRing, rowRing}, Run: t.run,
 	}
 }
 
@@ -87,6 +87,8 @@
 			t.handle(ctx, request)
 		case t.written = <-t.Written.C():
 			t.acknowledge()
+		case report := <-t.Health.C():
+			t.applyHealth(&report)
 		case <-t.RowChanges.ring.C():
 			t.restore(ctx)
 			t.healthCheck(ctx)
@@ -222,6 +224,9 @@
 	}
 	previous := t.member.Endpoint
 	t.state, t.identified = next, true
+	if !n.Final {
+		t.heard.heartbeat(n.ColdRemaining, time.Now())
+	}
 	e := mesh.Endpoint{
 		Service: n.Service, Version: n.Version, Slots: n.Slots, State: mesh.EndpointReady,
 		Process: fmt.Sprintf("%s/%d", n.Instance, next.StartedAt), Instance: n.Instance, StartedAt: next.StartedAt,
@@ -233,6 +238,7 @@
 		e.State = mesh.EndpointDraining
 	}
 	if e == previous {
+		t.publishLocal()
 		return
 	}
 	t.member.Endpoint = e
@@ -257,12 +263,19 @@
 
 // publish sends the state to the other duties of this node.
 func (t *tracker) publish(ctx context.Context) {
-	if t.member.Endpoint.State != mesh.EndpointNone {
-		t.Local.Store(&port.Local{Endpoint: t.member.Endpoint, Address: t.PlatformSettings.Upstream})
-	}
+	t.publishLocal()
 	_ = t.Self.Send(ctx, t.member) // replaces the oldest, never fails
 }
 
+func (t *tracker) publishLocal() {
+	if t.member.Endpoint.State == mesh.EndpointNone {
+		return
+	}
+	t.Local.Store(&port.Local{
+		Endpoint: t.member.Endpoint, Address: t.PlatformSettings.Upstream, HeardAt: t.heard.at, ColdUntil: t.heard.coldUntil,
+	})
+}
+
 func (t *tracker) queueRow(ctx context.Context, update rowUpdate) {
 	_ = t.RowUpdates.Send(ctx, update) // replaces the oldest, never fails
 }
@@ -280,7 +293,8 @@
 	if !ok || snapshot == nil {
 		return !t.Rows.Load().Listed(port.NodeTable) || snapshot == nil
 	}
-	path := snapshot.Services[t.PlatformSettings.Service].HealthPath
+	service := snapshot.Services[t.PlatformSettings.Service]
+	path := service.HealthPath
 	if stored.Endpoint.State != mesh.EndpointReady || stored.Endpoint.Service != t.PlatformSettings.Service || path == "" {
 		return false
 	}
@@ -297,6 +311,11 @@
 		return true
 	}
 	t.identified = true
+	cold, told := readCold(response.Header, t.Headers.ColdMS)
+	if !told {
+		cold = service.ColdDuration
+	}
+	t.heard.heartbeat(cold, time.Now())
 	t.member.Endpoint = stored.Endpoint
 	t.publish(ctx)
 	t.queueRow(ctx, rowUpdate{Member: t.member})
--- a/plugins/upstreambeats/announce_test.go
+++ b/plugins/upstreambeats/announce_test.go
@@ -90,6 +90,7 @@
 	changed *kernel.Ring[port.RowsChanged]
 	ring    *port.AnnounceRing
 	local   *port.LocalCell
+	health  *healthReportRing
 	grace   *kernel.Grace
 	end     context.CancelFunc
 
@@ -111,16 +112,19 @@
 	}
 	n.rows.Store(replica.New())
 	settings := &port.PlatformSettings{Service: "s", Upstream: netip.MustParseAddrPort(server), Inbound: netip.MustParseAddrPort("127.0.0.1:1"), WriteRate: 1e6}
+	n.health = kernel.NewRing[healthReport]("health", 1, kernel.ReplaceOldest)
+	headers := port.CallHeaders{Instance: "Instance", ColdMS: "Cold"}
 	updates := kernel.NewRing[rowUpdate]("updates", 1, kernel.ReplaceOldest)
 	written := kernel.NewRing[mesh.Endpoint]("written", 1, kernel.ReplaceOldest)
 	logger := kernel.NewLogger(io.Discard)
 	duties := []kernel.Duty{
 		newTracker(trackerIn{
 			Identity: mesh.Identity{Node: "n"}, PlatformSettings: settings, Requests: n.ring, RowChanges: rowChanges{n.changed},
-			RowUpdates: updates, Written: written, Self: kernel.NewRing[mesh.Member]("self", 1, kernel.ReplaceOldest), Local: n.local,
+			Headers: headers, Health: n.health, RowUpdates: updates, Written: written, Self: kernel.NewRing[mesh.Member]("self", 1, kernel.ReplaceOldest), Local: n.local,
 			Rows: n.rows, Snapshot: n.snapshot, Grace: n.grace, Logger: logger,
 		}),
 		newWriter(writerIn{RowUpdates: updates, Written: written, Feed: s, Rows: n.rows, PlatformSettings: settings, Logger: logger}),
+		newColdWatch(coldWatchIn{PlatformSettings: settings, Headers: headers, Local: n.local, Snapshot: n.snapshot, Reports: n.health}),
 	}
 	var ended sync.WaitGroup
 	for _, d := range duties {
--- a/plugins/upstreambeats/setup.go
+++ b/plugins/upstreambeats/setup.go
@@ -17,6 +17,7 @@
 	rowChangesRing = "announce.rows"
 	rowRing        = "announce.row"
 	writtenRowRing = "announce.written"
+	healthRing     = "announce.health"
 	selfRing       = "members.self"
 
 	// healthCheckInterval is the time between two health checks of a server that has
@@ -27,6 +28,12 @@
 	// healthCheckTimeout is several times the response time of an idle server.
 	healthCheckTimeout = 200 * time.Millisecond
 
+	// coldChecks is the number of health checks in a heartbeat interval that ask a server how
+	// long it stays cold: a server may turn cold between two heartbeats.
+	coldChecks = 3
+	// minColdCheckInterval bounds the checks where heartbeats are frequent.
+	minColdCheckInterval = 100 * time.Millisecond
+
 	// maxUnacknowledged bounds the announcements that wait for the node's row; a server
 	// repeats one a second.
 	maxUnacknowledged = 16
@@ -64,9 +71,11 @@
 				kernel.ProvideRing[kernel.Request[port.Announcement, struct{}]](announceRing, 64, kernel.Refuse),
 				kernel.ProvideRing[rowUpdate](rowRing, 1, kernel.ReplaceOldest),
 				kernel.ProvideRing[mesh.Endpoint](writtenRowRing, 1, kernel.ReplaceOldest),
+				kernel.ProvideRing[healthReport](healthRing, 1, kernel.ReplaceOldest),
 				port.ProvideRowsSubscriber(rowChangesRing, func(r *kernel.Ring[port.RowsChanged]) rowChanges { return rowChanges{r} }),
 				kernel.ProvideDuty(newTracker),
 				kernel.ProvideDuty(newWriter),
+				kernel.ProvideDuty(newColdWatch),
 			)
 		},
 	})
--- a/port/members.go
+++ b/port/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"teaselring/decision/replica"
 	"teaselring/kernel"
@@ -15,6 +16,11 @@
 type Local struct {
 	Endpoint mesh.Endpoint
 	Address  netip.AddrPort // on which it serves calls
+	// HeardAt is when the upstream last answered or announced itself; zero: never, or it
+	// could not be reached since.
+	HeardAt time.Time
+	// ColdUntil is the time until which the upstream said that it is cold.
+	ColdUntil time.Time
 }
 
 // LocalCell holds the state of the local upstream; nil before its first
--- a/test/sidecar/mesh.go
+++ b/test/sidecar/mesh.go
@@ -35,6 +35,9 @@
 	h        *harness.Harness
 	Store    *Store
 	Machines []*Machine
+	// ColdRate is the number of requests per second that a cold server tolerates, from the
+	// next configuration on; 0: no bound.
+	ColdRate float64
 	requests atomic.Int64
 }
 
@@ -137,7 +140,7 @@
 	m.Store.Put("op", "config", map[string]any{
 		"Version":  "r" + strconv.Itoa(version),
 		"Routes":   routes,
-		"Services": []any{map[string]any{"Name": Service, "HealthPath": "/health", "ConnectionLimit": 100}},
+		"Services": []any{map[string]any{"Name": Service, "HealthPath": "/health", "ConnectionLimit": 100, "ColdStartS": 3, "ColdPerS": m.ColdRate}},
 		"Limits":   map[string]any{"HeaderBytes": 16384, "BodyBytes": 1 << 24, "HeaderTimeoutS": 3, "IdleTimeoutS": 15},
 	})
 }
@@ -160,7 +163,7 @@
 	settings, err := json.Marshal(map[string]any{
 		"NodeName": name, "Zone": zone, "Region": "r", "Service": Service,
 		"AppAddress":         machine.Server.appAddress,
-		"HeartbeatIntervalS": heartbeatInterval.Seconds(), "Bounds": map[string]any{"DrainS": 2, "GracePeriodS": 6},
+		"HeartbeatIntervalS": heartbeatInterval.Seconds(), "Bounds": map[string]any{"DrainS": 2, "GracePeriodS": 6, "ColdOverage": 1.5, "ColdSlack": 8},
 		"ListenAddresses": map[string]any{"Inbound": a.Inbound, "Outbound": a.Outbound, "Ready": a.Ready, "Control": a.Control},
 		"Platform":        map[string]any{"Address": o.ProxyAddress(ToStore, i, m.Store.Serve(name))},
 	})
--- a/test/sidecar/server.go
+++ b/test/sidecar/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -31,6 +32,8 @@
 	lastRunAt        atomic.Int64 // Unix time in ms
 	drainAckedAt     atomic.Int64 // Unix time in ms of the acknowledgement of draining
 	sequence         atomic.Int64
+	coldUntil        atomic.Int64 // Unix time in ms
+	arrivals         []time.Time  // of requests that were not refused as misdirected; guarded by mu
 	stopped          chan struct{}
 	mu               sync.Mutex                   // held while the server is replaced
 	listener         atomic.Pointer[net.Listener] // since the last start
@@ -63,6 +66,7 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/health" {
 		w.Header().Set("Instance-Id", s.ID())
+		w.Header().Set("Cold-Milliseconds", strconv.FormatInt(s.coldRemaining().Milliseconds(), 10))
 		if s.state.Load() != "ready" {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
@@ -73,6 +77,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	s.mu.Lock()
+	s.arrivals = append(s.arrivals, time.Now())
+	s.mu.Unlock()
 	if strings.HasSuffix(r.URL.Path, "/poison") {
 		s.Crash()
 		panic(http.ErrAbortHandler)
@@ -100,6 +107,34 @@
 // SetState sets the state that the server reports: "ready" or "draining".
 func (s *Server) SetState(state string) { s.state.Store(state) }
 
+// SetCold makes the server cold for a while; its next heartbeat says so.
+func (s *Server) SetCold(d time.Duration) { s.coldUntil.Store(time.Now().Add(d).UnixMilli()) }
+
+func (s *Server) coldRemaining() time.Duration {
+	return max(0, time.Until(time.UnixMilli(s.coldUntil.Load())))
+}
+
+// MostArrivals returns the largest number of requests that arrived in any second from a time
+// on, and the number of all.
+func (s *Server) MostArrivals(from time.Time) (most, total int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, first := range s.arrivals {
+		if first.Before(from) {
+			continue
+		}
+		total++
+		n := 0
+		for _, t := range s.arrivals[i:] {
+			if t.Sub(first) < time.Second {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most, total
+}
+
 // SetVersion sets the version of the server's software.
 func (s *Server) SetVersion(v string) { s.version.Store(v) }
 
@@ -203,7 +238,7 @@
 	return s.announcement("heartbeat", map[string]any{
 		"Address":     s.appAddress,
 		"Information": map[string]any{"Service": Service, "Version": s.version.Load(), "Zone": s.zone, "Slots": 8},
-		"Status":      map[string]any{"State": s.state.Load(), "Sequence": s.sequence.Add(1), "ColdRemainingS": 0},
+		"Status":      map[string]any{"State": s.state.Load(), "Sequence": s.sequence.Add(1), "ColdRemainingS": s.coldRemaining().Seconds()},
 		"born":        s.startedAt.Load(),
 	})
 }
