Share the slots among accounts of the same rank

Cause: calls of a rank waited in order of arrival, so an account that sent several times its usual load filled the queues of all servers and others were refused. Accounts now share the slot time by start-time fair queueing, the wait of a call is estimated by its own account, and a full queue evicts from the longest flow. Calls with a short target are a flow of their own.

--- a/decision/limit/slots.go
+++ b/decision/limit/slots.go
@@ -3,6 +3,8 @@
 package limit
 
 import (
+	"container/list"
+	"slices"
 	"time"
 
 	"teaselring/mesh"
@@ -34,6 +36,8 @@
 	StartBy time.Time
 	// SoftDeadline is the time until which the response has its full value; zero: none.
 	SoftDeadline time.Time
+	// Account is the client account of the call; empty: none.
+	Account mesh.AccountName
 	// Priority replaces the rank of the class if HasPriority is set; 0 is the highest.
 	Priority    int
 	HasPriority bool
@@ -46,6 +50,17 @@
 	return highestPriorityRank - rank(min(max(q.Priority, 0), priorityLevels-1))
 }
 
+// flowKey returns the flow of a call among those of its rank.
+func (q *Request) flowKey() flowKey {
+	return flowKey{account: q.Account, short: q.isShort()}
+}
+
+// isShort reports whether a late response is useful too: StartBy is not before the soft
+// deadline. Servers make such calls for their own requests.
+func (q *Request) isShort() bool {
+	return !q.SoftDeadline.IsZero() && !q.StartBy.IsZero() && !q.StartBy.Before(q.SoftDeadline)
+}
+
 // holdTimeMargin is the time reserved for the execution of a call with a soft
 // deadline, as a multiple of the average hold time. About one call in seven takes
 // longer.
@@ -53,15 +68,13 @@
 
 // latestStart returns the time by which a request must start. A call with a soft
 // deadline waits only while its response can still be expected by then, but at least
-// for half of QueueWait. If StartBy is not before the soft deadline, a late response is
-// useful too, and the soft deadline is ignored: servers make such calls for their own
-// requests.
+// for half of QueueWait. The soft deadline of a call with a short target is ignored.
 func (s *Slots) latestStart(q *Request, now time.Time) time.Time {
 	if q.StartBy.IsZero() {
 		return earlier(q.Deadline, now.Add(s.params.QueueWait))
 	}
 	latestStart := earlier(q.Deadline, q.StartBy)
-	if q.SoftDeadline.IsZero() || !q.StartBy.Before(q.SoftDeadline) {
+	if q.SoftDeadline.IsZero() || q.isShort() {
 		return latestStart
 	}
 	latestUseful := q.SoftDeadline.Add(-time.Duration(holdTimeMargin * s.holdTime[q.rank()]))
@@ -85,7 +98,9 @@
 	maxQueue       int
 	draining       bool
 	adaptiveLimit  adaptiveLimit
-	queue          [rankCount][]waiter // in order of arrival
+	queue          [rankCount]fairQueue
+	expiry         indexedHeap[*waiter] // all waiting calls, the earliest latest start first
+	sequence       uint64               // of the call that was queued last
 	running        map[mesh.AttemptID]runningCall
 	runningUploads int
 	// holdTime is the moving average of the slot hold time of each rank, in ns.
@@ -103,11 +118,18 @@
 	Request
 	enqueuedAt  time.Time
 	latestStart time.Time // at most the deadline of the call
+	sequence    uint64    // in order of arrival
+	cost        float64   // expected hold time, in ns
+	flow        *flow
+	element     *list.Element // in flow.waiters
+	expiryIndex int
 }
 
 type runningCall struct {
 	rank      rank
 	startedAt time.Time
+	flow      *flow
+	cost      float64
 }
 
 // rank orders calls by importance. Lower ranks are shed first.
@@ -139,7 +161,17 @@
 
 // NewSlots returns Slots that refuse all calls until Resize.
 func NewSlots(params Params) *Slots {
-	return &Slots{params: params, running: map[mesh.AttemptID]runningCall{}}
+	s := &Slots{
+		params: params, running: map[mesh.AttemptID]runningCall{},
+		expiry: indexedHeap[*waiter]{
+			before:   func(a, b *waiter) bool { return a.latestStart.Before(b.latestStart) },
+			position: func(w *waiter) *int { return &w.expiryIndex },
+		},
+	}
+	for r := range s.queue {
+		s.queue[r] = newFairQueue()
+	}
+	return s
 }
 
 // Resize sets the number of slots and the maximum queue length. Running calls in
@@ -168,10 +200,10 @@
 	if !q.Deadline.After(now) {
 		return nil, result.DeadlineBefore.Err()
 	}
-	w := waiter{Request: q, enqueuedAt: now, latestStart: s.latestStart(&q, now)}
-	nextStart := s.boundStart(s.ahead(q.rank())+1, now)
+	w := &waiter{Request: q, enqueuedAt: now, latestStart: s.latestStart(&q, now), cost: s.cost(q.rank())}
+	nextStart := s.boundStart(s.ahead(w)+1, now)
 	if nextStart.After(w.latestStart) {
-		return nil, s.refuseCold(&w, nextStart, now)
+		return nil, s.refuseCold(w, nextStart, now)
 	}
 	if !s.canStart(q.rank()) || nextStart.After(now) {
 		return s.enqueueWaiting(w)
@@ -180,17 +212,17 @@
 	return nil, nil
 }
 
-func (s *Slots) enqueueWaiting(w waiter) (*Refusal, error) {
+func (s *Slots) enqueueWaiting(w *waiter) (*Refusal, error) {
 	r := w.rank()
-	if r == rankUpload && len(s.queue[rankUpload]) >= half(s.maxQueue) {
-		return nil, result.ClassLimit.Errorf("%d uploads are running and %d are queued", s.runningUploads, len(s.queue[rankUpload]))
+	if queued := s.queue[rankUpload].waiting; r == rankUpload && queued >= half(s.maxQueue) {
+		return nil, result.ClassLimit.Errorf("%d uploads are running and %d are queued", s.runningUploads, queued)
 	}
-	if expected := s.expectedWait(r); !s.canStart(r) && w.enqueuedAt.Add(expected).After(w.latestStart) {
+	if expected := s.expectedWait(w); !s.canStart(r) && w.enqueuedAt.Add(expected).After(w.latestStart) {
 		return nil, result.QueueFull.Errorf("the expected wait of %v exceeds the deadline", expected)
 	}
 	var evicted *Refusal
 	if s.Waiting() >= s.maxQueue {
-		if evicted = s.evictBelow(r); evicted == nil {
+		if evicted = s.evictFor(w); evicted == nil {
 			return nil, result.QueueFull.Errorf("%d calls are queued", s.Waiting())
 		}
 	}
@@ -198,37 +230,60 @@
 	return evicted, nil
 }
 
-func (s *Slots) push(w waiter) {
-	r := w.rank()
-	s.queue[r] = append(s.queue[r], w)
+func (s *Slots) push(w *waiter) {
+	s.sequence++
+	w.sequence = s.sequence
+	s.queue[w.rank()].push(w)
+	s.expiry.add(w)
+}
+
+// remove removes a waiting call from the queue.
+func (s *Slots) remove(w *waiter) {
+	s.queue[w.rank()].remove(w)
+	s.expiry.remove(w)
 }
 
-// evictBelow removes the newest waiter of the lowest non-empty rank below r.
-func (s *Slots) evictBelow(r rank) *Refusal {
+// evictFor removes a waiting call in favour of a new one: the newest of the longest flow in
+// the lowest rank below that of the new call, or in its own rank if that flow is longer than
+// that of the new call.
+func (s *Slots) evictFor(w *waiter) *Refusal {
+	r := w.rank()
 	for lower := rankRead; lower < r; lower++ {
-		if n := len(s.queue[lower]); n > 0 {
-			w := s.queue[lower][n-1]
-			s.queue[lower] = s.queue[lower][:n-1]
-			return &Refusal{w.Attempt, result.QueueFull.Errorf("evicted from the queue by a more important call")}
+		if s.queue[lower].waiting > 0 {
+			evicted := s.queue[lower].byLength.items[0].waiters.Back().Value.(*waiter)
+			s.remove(evicted)
+			return &Refusal{evicted.Attempt, result.QueueFull.Errorf("evicted from the queue by a more important call")}
 		}
 	}
+	if evicted := s.queue[r].longest(w.flowKey()); evicted != nil {
+		s.remove(evicted)
+		return &Refusal{evicted.Attempt, result.QueueFull.Errorf("evicted from the queue: its account has more calls waiting than others")}
+	}
 	return nil
 }
 
-// expectedWait estimates the queue wait of a new call of a rank: the calls ahead
-// of it and itself, each holding one of Limit slots for the average hold time.
-func (s *Slots) expectedWait(r rank) time.Duration {
-	return time.Duration(float64(s.ahead(r)+1) * s.holdTime[r] / float64(s.Limit()))
+// expectedWait estimates the queue wait of a new call: the calls ahead of it and itself,
+// each holding one of Limit slots for the average hold time.
+func (s *Slots) expectedWait(w *waiter) time.Duration {
+	return time.Duration(float64(s.ahead(w)+1) * s.holdTime[w.rank()] / float64(s.Limit()))
 }
 
-// ahead returns the number of queued calls that start before a new one of a rank.
-func (s *Slots) ahead(r rank) (calls int) {
-	for higher := r; higher < rankCount; higher++ {
-		calls += len(s.queue[higher])
+// ahead estimates the number of queued calls that start before a new one.
+func (s *Slots) ahead(w *waiter) int {
+	r := w.rank()
+	calls := s.queue[r].ahead(w)
+	for higher := r + 1; higher < rankCount; higher++ {
+		calls += s.queue[higher].waiting
 	}
 	return calls
 }
 
+// minCost is the charge for a call whose hold time is not known.
+const minCost = float64(time.Millisecond)
+
+// cost returns the expected hold time of a call, in ns.
+func (s *Slots) cost(r rank) float64 { return max(s.holdTime[r], minCost) }
+
 // Dispatch refuses the queued calls that have expired, then starts as many as
 // there are free slots, the highest rank first.
 func (s *Slots) Dispatch(now time.Time) (started []mesh.AttemptID, refused []Refusal) {
@@ -237,9 +292,8 @@
 		s.concurrency = s.startBound.Concurrency(time.Duration(s.meanHold), now)
 	}
 	for r := rankCount - 1; r >= rankRead; r-- {
-		for len(s.queue[r]) > 0 && s.canStart(r) && !s.boundStart(1, now).After(now) {
-			w := s.queue[r][0]
-			s.queue[r] = s.queue[r][1:]
+		for s.queue[r].waiting > 0 && s.canStart(r) && !s.boundStart(1, now).After(now) {
+			w := s.queue[r].next()
 			s.start(w, now)
 			started = append(started, w.Attempt)
 		}
@@ -256,27 +310,30 @@
 	return r != rankUpload || s.runningUploads < half(s.Limit())
 }
 
-func (s *Slots) start(w waiter, now time.Time) {
+func (s *Slots) start(w *waiter, now time.Time) {
 	r := w.rank()
+	s.queue[r].start(w)
+	s.expiry.remove(w)
 	if r == rankUpload {
 		s.runningUploads++
 	}
-	s.running[w.Attempt] = runningCall{rank: r, startedAt: now}
+	s.running[w.Attempt] = runningCall{rank: r, startedAt: now, flow: w.flow, cost: w.cost}
 	if s.startBound != nil {
 		s.startBound.Started(now)
 	}
 }
 
 // expire removes and returns the waiters that must no longer start.
-func (s *Slots) expire(now time.Time) []Refusal {
-	var refused []Refusal
-	s.filterQueues(func(w *waiter) bool {
+func (s *Slots) expire(now time.Time) (refused []Refusal) {
+	for len(s.expiry.items) > 0 {
+		w := s.expiry.items[0]
 		err := s.expiryError(w, now)
-		if err != nil {
-			refused = append(refused, Refusal{w.Attempt, err})
+		if err == nil {
+			break
 		}
-		return err == nil
-	})
+		s.remove(w)
+		refused = append(refused, Refusal{w.Attempt, err})
+	}
 	return refused
 }
 
@@ -293,31 +350,14 @@
 }
 
 // Prune removes the waiters for which remove returns true, and returns their ids.
-func (s *Slots) Prune(remove func(mesh.AttemptID) bool) []mesh.AttemptID {
-	var removed []mesh.AttemptID
-	s.filterQueues(func(w *waiter) bool {
-		if !remove(w.Attempt) {
-			return true
-		}
-		removed = append(removed, w.Attempt)
-		return false
-	})
-	return removed
-}
-
-// filterQueues keeps the waiters for which keep returns true. It visits the more important
-// ones first, in the order in which they start.
-func (s *Slots) filterQueues(keep func(*waiter) bool) {
-	for r := rankCount - 1; r >= rankRead; r-- {
-		kept := s.queue[r][:0]
-		for i := range s.queue[r] {
-			if keep(&s.queue[r][i]) {
-				kept = append(kept, s.queue[r][i])
-			}
+func (s *Slots) Prune(remove func(mesh.AttemptID) bool) (removed []mesh.AttemptID) {
+	for _, w := range slices.Clone(s.expiry.items) {
+		if remove(w.Attempt) {
+			s.remove(w)
+			removed = append(removed, w.Attempt)
 		}
-		clear(s.queue[r][len(kept):])
-		s.queue[r] = kept
 	}
+	return removed
 }
 
 // Abandon frees the slot of an attempt that didn't use it or whose upstream was
@@ -341,6 +381,7 @@
 	}
 	s.adaptiveLimit.increase(full, s.slots)
 	held := float64(now.Sub(r.startedAt))
+	s.queue[r.rank].charge(r.flow, held-r.cost)
 	addSample(&s.holdTime[r.rank], held)
 	addSample(&s.meanHold, held)
 }
@@ -386,13 +427,7 @@
 func (s *Slots) Running() int { return len(s.running) }
 
 // Waiting returns the queue length.
-func (s *Slots) Waiting() int {
-	n := 0
-	for r := range s.queue {
-		n += len(s.queue[r])
-	}
-	return n
-}
+func (s *Slots) Waiting() int { return len(s.expiry.items) }
 
 // Load returns the load report that is attached to responses. Its limit is 0 while no
 // upstream is known: a limit of 1 would look like an upstream with a single slot. It is
@@ -415,16 +450,10 @@
 // NextExpiry returns the earliest time at which Dispatch refuses a waiter, if
 // there is one.
 func (s *Slots) NextExpiry() (time.Time, bool) {
-	var next time.Time
-	found := false
-	for r := range s.queue {
-		for i := range s.queue[r] {
-			if latestStart := s.queue[r][i].latestStart; !found || latestStart.Before(next) {
-				next, found = latestStart, true
-			}
-		}
+	if len(s.expiry.items) == 0 {
+		return time.Time{}, false
 	}
-	return next, found
+	return s.expiry.items[0].latestStart, true
 }
 
 func half(n int) int { return (n + 1) / 2 }
--- a/decision/limit/start_bound.go
+++ b/decision/limit/start_bound.go
@@ -45,7 +45,7 @@
 		return time.Time{}, false
 	}
 	for r := range s.queue {
-		if len(s.queue[r]) > 0 && s.canStart(rank(r)) {
+		if s.queue[r].waiting > 0 && s.canStart(rank(r)) {
 			return s.startBound.StartTime(1, now), true
 		}
 	}
@@ -63,19 +63,20 @@
 // expireBound removes and returns the waiters that the bound lets start only after their
 // latest start, because the upstream turned cold or more important calls came.
 func (s *Slots) expireBound(now time.Time) (refused []Refusal) {
-	if s.startBound == nil || !s.boundStart(s.ahead(rankRead), now).After(now) {
+	if s.startBound == nil || !s.boundStart(s.Waiting(), now).After(now) {
 		return nil
 	}
 	n := 0
-	s.filterQueues(func(w *waiter) bool {
-		start := s.startBound.StartTime(n+1, now)
-		if start.After(w.latestStart) {
-			refused = append(refused, Refusal{w.Attempt, s.refuseCold(w, start, now)})
-			return false
+	for r := rankCount - 1; r >= rankRead; r-- {
+		for _, w := range s.queue[r].ordered() {
+			if start := s.startBound.StartTime(n+1, now); start.After(w.latestStart) {
+				s.remove(w)
+				refused = append(refused, Refusal{w.Attempt, s.refuseCold(w, start, now)})
+				continue
+			}
+			n++
 		}
-		n++
-		return true
-	})
+	}
 	return refused
 }
 
--- a/plugins/callslots/slots.go
+++ b/plugins/callslots/slots.go
@@ -158,8 +158,8 @@
 func (d *duty) enqueue(q *port.Admit, now time.Time) error {
 	request := limit.Request{
 		Attempt: q.Attempt, Class: q.Call.Class, Deadline: q.Call.Deadline, StartBy: q.Call.StartBy,
-		SoftDeadline: q.Call.SoftDeadline,
-		Priority:     q.Call.Priority, HasPriority: q.Call.HasPriority,
+		SoftDeadline: q.Call.SoftDeadline, Account: q.Call.Account,
+		Priority: q.Call.Priority, HasPriority: q.Call.HasPriority,
 	}
 	evicted, err := d.slots.Enqueue(request, now)
 	if err != nil && d.dropCancelled() {
--- a/plugins/callslots/slots_test.go
+++ b/plugins/callslots/slots_test.go
@@ -193,6 +193,31 @@
 		Expect(result.Of(admit(ctx, stale))).To(Equal(result.WrongIncarnation))
 	})
 
+	// Guards against an account whose calls fill the queue, so that others are refused.
+	It("makes room in a full queue for an account with fewer calls", func() {
+		n.snapshot.Store(&mesh.Snapshot{Services: map[mesh.ServiceID]mesh.Service{"stock": {Slots: 1, Queue: 2}}})
+		admitAs := func(id mesh.AttemptID, account mesh.AccountName) chan error {
+			a, done := admitOf(id), make(chan error, 1)
+			a.Call.Account = account
+			go func() { done <- admit(ctx, a) }()
+			return done
+		}
+		queued := func() int { return n.Load.Load().Queued }
+		Eventually(admitAs("1", "heavy")).Should(Receive(BeNil()))
+		waiting := admitAs("2", "heavy")
+		Eventually(queued).Should(Equal(1))
+		newest := admitAs("3", "heavy")
+		Eventually(queued).Should(Equal(2))
+		small := admitAs("4", "small")
+		var err error
+		Eventually(newest).Should(Receive(&err))
+		Expect(result.Of(err)).To(Equal(result.QueueFull))
+		release(port.SlotRelease{Attempt: "1", Status: 200})
+		Eventually(waiting).Should(Receive(BeNil()))
+		release(port.SlotRelease{Attempt: "2", Status: 200})
+		Eventually(small).Should(Receive(BeNil()))
+	})
+
 	DescribeTable("refuses work for an upstream that is not the chosen one",
 		func(change func(*port.Admit)) {
 			a := admitOf("1")
