Estimate the wait by class and present slowness; keep the limit of a server that refuses at any load

Cause: uploads of a priority made reads of the same priority look slow, calls were queued on an instance that had just become slow, and the limit of a busy server that refused half of its calls at any load fell to 4.7 of 6 slots (trial in the spec). Specs: decision/limit (wait, refusals).

--- a/decision/limit/fair_test.go
+++ b/decision/limit/fair_test.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -18,6 +19,8 @@
 	hold     time.Duration
 	priority int
 	until    time.Duration // zero: to the end
+	class    mesh.Class    // empty: read
+	target   time.Duration // zero: none
 }
 
 // served is what an account got.
@@ -52,10 +55,14 @@
 			if t >= from {
 				got[l.account].offered++
 			}
-			_, _ = o.Enqueue(Request{
-				Attempt: id, Class: mesh.ClassRead, Deadline: now.Add(time.Second), StartBy: now.Add(300 * time.Millisecond),
+			q := Request{
+				Attempt: id, Class: cmp.Or(l.class, mesh.ClassRead), Deadline: now.Add(time.Second), StartBy: now.Add(300 * time.Millisecond),
 				Account: l.account, Priority: l.priority, HasPriority: true,
-			}, now)
+			}
+			if l.target > 0 {
+				q.SoftDeadline, q.StartBy = now.Add(l.target), now.Add(max(l.target*6/10, 250*time.Millisecond))
+			}
+			_, _ = o.Enqueue(q, now)
 		}
 		for _, id := range o.dispatch(now) {
 			ends[id] = now.Add(calls[id].hold)
--- a/decision/limit/latest_start_test.go
+++ b/decision/limit/latest_start_test.go
@@ -13,7 +13,7 @@
 	func(q Request, hold, want time.Duration) {
 		s := NewSlots(DefaultParams())
 		q.Deadline, q.HasPriority = at(2*time.Second), true
-		s.holdTime[q.rank()] = float64(hold)
+		s.holdTimes.usual[q.rank()][classIndex(q.Class)] = float64(hold)
 		Expect(s.latestStart(&q, start)).To(Equal(at(want)))
 	},
 	Entry("is the queue wait without StartBy", Request{}, time.Duration(0), 250*time.Millisecond),
--- a/decision/limit/slots.go
+++ b/decision/limit/slots.go
@@ -77,7 +77,7 @@
 	if q.SoftDeadline.IsZero() || q.isShort() {
 		return latestStart
 	}
-	latestUseful := q.SoftDeadline.Add(-time.Duration(holdTimeMargin * s.holdTime[q.rank()]))
+	latestUseful := q.SoftDeadline.Add(-time.Duration(holdTimeMargin * s.holdTimes.expected(q)))
 	if minStart := now.Add(s.params.QueueWait / 2); latestUseful.Before(minStart) {
 		latestUseful = minStart
 	}
@@ -103,13 +103,10 @@
 	sequence       uint64               // of the call that was queued last
 	running        map[mesh.AttemptID]runningCall
 	runningUploads int
-	// holdTime is the moving average of the slot hold time of each rank, in ns.
-	// Ranks are separate so that a slow upload doesn't make reads look slow.
-	holdTime [rankCount]float64
-	slowness int // reported by the upstream, in percent; 0: unknown
+	holdTimes      holdTimes
+	refusals       refusals
 
 	startBound  StartBound // nil: none
-	meanHold    float64    // moving average of the hold times of all ranks, in ns
 	concurrency int        // of StartBound at the last Dispatch; 0: no bound
 	refusedCold int64
 }
@@ -127,7 +124,9 @@
 
 type runningCall struct {
 	rank      rank
+	class     mesh.Class
 	startedAt time.Time
+	running   int // calls in flight at its start, with itself
 	flow      *flow
 	cost      float64
 }
@@ -200,7 +199,7 @@
 	if !q.Deadline.After(now) {
 		return nil, result.DeadlineBefore.Err()
 	}
-	w := &waiter{Request: q, enqueuedAt: now, latestStart: s.latestStart(&q, now), cost: s.cost(q.rank())}
+	w := &waiter{Request: q, enqueuedAt: now, latestStart: s.latestStart(&q, now), cost: s.cost(&q)}
 	nextStart := s.boundStart(s.ahead(w)+1, now)
 	if nextStart.After(w.latestStart) {
 		return nil, s.refuseCold(w, nextStart, now)
@@ -263,9 +262,17 @@
 }
 
 // expectedWait estimates the queue wait of a new call: the calls ahead of it and itself,
-// each holding one of Limit slots for the average hold time.
+// each holding one of Limit slots for the time that calls of its kind take now.
 func (s *Slots) expectedWait(w *waiter) time.Duration {
-	return time.Duration(float64(s.ahead(w)+1) * s.holdTime[w.rank()] / float64(s.Limit()))
+	r := w.rank()
+	work := s.holdTimes.expected(&w.Request)
+	if own := &s.queue[r]; own.waiting > 0 {
+		work += own.work * float64(own.ahead(w)) / float64(own.waiting)
+	}
+	for higher := r + 1; higher < rankCount; higher++ {
+		work += s.queue[higher].work
+	}
+	return time.Duration(work / float64(s.Limit()))
 }
 
 // ahead estimates the number of queued calls that start before a new one.
@@ -282,14 +289,14 @@
 const minCost = float64(time.Millisecond)
 
 // cost returns the expected hold time of a call, in ns.
-func (s *Slots) cost(r rank) float64 { return max(s.holdTime[r], minCost) }
+func (s *Slots) cost(q *Request) float64 { return max(s.holdTimes.expected(q), minCost) }
 
 // Dispatch refuses the queued calls that have expired, then starts as many as
 // there are free slots, the highest rank first.
 func (s *Slots) Dispatch(now time.Time) (started []mesh.AttemptID, refused []Refusal) {
 	refused = append(s.expire(now), s.expireBound(now)...)
 	if s.startBound != nil {
-		s.concurrency = s.startBound.Concurrency(time.Duration(s.meanHold), now)
+		s.concurrency = s.startBound.Concurrency(time.Duration(s.holdTimes.all), now)
 	}
 	for r := rankCount - 1; r >= rankRead; r-- {
 		for s.queue[r].waiting > 0 && s.canStart(r) && !s.boundStart(1, now).After(now) {
@@ -317,7 +324,7 @@
 	if r == rankUpload {
 		s.runningUploads++
 	}
-	s.running[w.Attempt] = runningCall{rank: r, startedAt: now, flow: w.flow, cost: w.cost}
+	s.running[w.Attempt] = runningCall{rank: r, class: w.Class, startedAt: now, running: len(s.running) + 1, flow: w.flow, cost: w.cost}
 	if s.startBound != nil {
 		s.startBound.Started(now)
 	}
@@ -373,8 +380,9 @@
 	if !ok {
 		return
 	}
+	s.refusals.record(r.running, reported, shed, now)
 	if shed {
-		if overloaded(reported, full) {
+		if overloaded(reported, full) && !s.refusals.atAnyLoad(now) {
 			s.adaptiveLimit.decrease(now, &s.params)
 		}
 		return
@@ -382,15 +390,7 @@
 	s.adaptiveLimit.increase(full, s.slots)
 	held := float64(now.Sub(r.startedAt))
 	s.queue[r.rank].charge(r.flow, held-r.cost)
-	addSample(&s.holdTime[r.rank], held)
-	addSample(&s.meanHold, held)
-}
-
-func addSample(mean *float64, sample float64) {
-	if *mean == 0 {
-		*mean = sample
-	}
-	*mean += holdTimeWeight * (sample - *mean)
+	s.holdTimes.add(r.rank, r.class, held)
 }
 
 // overloaded reports whether an upstream refused a call for lack of slots. If it
@@ -404,9 +404,6 @@
 	return reported.Queued > 0 || reported.InFlight >= reported.Limit
 }
 
-// holdTimeWeight is the weight of a new sample in the moving average holdTime.
-const holdTimeWeight = 0.05
-
 func (s *Slots) removeRunning(id mesh.AttemptID) (runningCall, bool) {
 	r, ok := s.running[id]
 	if !ok {
@@ -433,7 +430,7 @@
 // upstream is known: a limit of 1 would look like an upstream with a single slot. It is
 // reduced while StartBound bounds the concurrency, so that entry nodes send less.
 func (s *Slots) Load() mesh.Load {
-	load := mesh.Load{InFlight: len(s.running), Queued: s.Waiting(), Slowness: s.slowness}
+	load := mesh.Load{InFlight: len(s.running), Queued: s.Waiting(), Slowness: s.holdTimes.slowness}
 	if s.slots > 0 {
 		load.Limit = s.Limit()
 	}
@@ -445,7 +442,7 @@
 
 // SetSlowness records how long work takes on the upstream's instance, in percent of the
 // usual time.
-func (s *Slots) SetSlowness(percent int) { s.slowness = percent }
+func (s *Slots) SetSlowness(percent int) { s.holdTimes.slowness = percent }
 
 // NextExpiry returns the earliest time at which Dispatch refuses a waiter, if
 // there is one.
