--- a/plugins/callslots/cold.go
+++ b/plugins/callslots/cold.go
@@ -10,18 +10,18 @@
 
 // coldState is what the slots duty knows about the cold state of the local upstream.
 type coldState struct {
-	gate       *coldstart.Gate
-	cold       bool
-	evacuated  bool // the node's zone is being evacuated
-	state      metrics.Gauge
-	refusedAll metrics.Gauge
+	gate      *coldstart.Gate
+	cold      bool
+	evacuated bool // the node's zone is being evacuated
+	state     metrics.Gauge
+	refused   metrics.Counter
 }
 
 func newColdState(registry metrics.Registry) coldState {
 	return coldState{
-		gate:       new(coldstart.Gate),
-		state:      metrics.NewRegisteredGauge("slots.cold", registry),
-		refusedAll: metrics.NewRegisteredGauge("slots.refused.cold", registry),
+		gate:    new(coldstart.Gate),
+		state:   metrics.NewRegisteredGauge("slots.cold", registry),
+		refused: metrics.NewRegisteredCounter("slots.refused.cold", registry),
 	}
 }
 
@@ -37,7 +37,7 @@
 		c.gate.Suspect(now)
 	}
 	c.evacuated = evacuated
-	c.refusedAll.Update(d.slots.RefusedCold())
+	c.refused.Inc(d.slots.RefusedCold() - c.refused.Count())
 	cold, until := c.gate.Cold(now)
 	if cold == c.cold {
 		return
