--- a/plugins/callslots/slots_test.go
+++ b/plugins/callslots/slots_test.go
@@ -33,6 +33,8 @@
 	Pushes   *port.PushRing
 	Audit    *port.AuditRing
 	local    port.LocalCell
+	snapshot *port.SnapshotCell
+	zones    *port.EvacuationsCell
 }
 
 func startNode(queueWait string) *node {
@@ -40,12 +42,14 @@
 	parsed, err := kernel.Parse("test.toml", []byte(settings))
 	Expect(err).NotTo(HaveOccurred())
 	n := &node{}
-	view, snapshot := new(port.ViewCell), new(port.SnapshotCell)
+	view := new(port.ViewCell)
+	n.snapshot, n.zones = new(port.SnapshotCell), new(port.EvacuationsCell)
 	view.Store(&mesh.View{Self: "a", Members: []mesh.Member{{Node: "a", Incarnation: incarnation}}})
-	snapshot.Store(&mesh.Snapshot{Services: map[mesh.ServiceID]mesh.Service{"stock": {Slots: 1, Queue: 1}}})
+	n.snapshot.Store(&mesh.Snapshot{Services: map[mesh.ServiceID]mesh.Service{"stock": {Slots: 1, Queue: 1}}})
 	app := fx.New(
 		kernel.Options(parsed, kernel.NewLogger(io.Discard)),
-		fx.Supply(view, snapshot, &n.local),
+		fx.Supply(view, n.snapshot, n.zones, mesh.Identity{Zone: "z"}, &n.local),
+		fx.Supply(&port.PlatformSettings{ColdOverage: 1, ColdSlack: 8}),
 		kernel.ProvideRing[port.Push]("links.push", 8, kernel.ReplaceOldest),
 		kernel.ProvideRing[port.AuditEntry]("audit.entries", 8, kernel.WaitUntilDeadline),
 		fx.Populate(&n.Admits, &n.Releases, &n.Settles, &n.Crashes, &n.Load, &n.Pushes, &n.Audit),
@@ -189,6 +193,31 @@
 		Expect(result.Of(admit(ctx, stale))).To(Equal(result.WrongIncarnation))
 	})
 
+	// Guards against an account whose calls fill the queue, so that others are refused.
+	It("makes room in a full queue for an account with fewer calls", func() {
+		n.snapshot.Store(&mesh.Snapshot{Services: map[mesh.ServiceID]mesh.Service{"stock": {Slots: 1, Queue: 2}}})
+		admitAs := func(id mesh.AttemptID, account mesh.AccountName) chan error {
+			a, done := admitOf(id), make(chan error, 1)
+			a.Call.Account = account
+			go func() { done <- admit(ctx, a) }()
+			return done
+		}
+		queued := func() int { return n.Load.Load().Queued }
+		Eventually(admitAs("1", "heavy")).Should(Receive(BeNil()))
+		waiting := admitAs("2", "heavy")
+		Eventually(queued).Should(Equal(1))
+		newest := admitAs("3", "heavy")
+		Eventually(queued).Should(Equal(2))
+		small := admitAs("4", "small")
+		var err error
+		Eventually(newest).Should(Receive(&err))
+		Expect(result.Of(err)).To(Equal(result.QueueFull))
+		release(port.SlotRelease{Attempt: "1", Status: 200})
+		Eventually(waiting).Should(Receive(BeNil()))
+		release(port.SlotRelease{Attempt: "2", Status: 200})
+		Eventually(small).Should(Receive(BeNil()))
+	})
+
 	DescribeTable("refuses work for an upstream that is not the chosen one",
 		func(change func(*port.Admit)) {
 			a := admitOf("1")
