Identify client accounts by key, and keep keys and claimed accounts from servers

With accounts in force, a request on a route that is not anonymous needs the key of an account; otherwise it gets 401. The entry node deletes the key and the client's account header in any spelling, the owner node sets the account header from the attempt. The account's priority replaces that of the route. Without accounts both headers pass as before.

Refusals for a key have one rate-limited log line and a counter. Specs cover repeated headers, headers listed in Connection, trailers, removed keys, and nodes with different configuration versions.

--- /dev/null
+++ b/plugins/callrelay/accounts.go
@@ -0,0 +1,107 @@
+package callrelay
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"teaselring/mesh"
+	"teaselring/port"
+	"teaselring/result"
+	"teaselring/wire"
+)
+
+// maxAccountLinesPerSecond bounds the log lines about requests refused for their key or
+// for the limit of their account. Suppressed lines are counted in the next one.
+const maxAccountLinesPerSecond = 10
+
+// accountLog limits the rate of log lines about refused requests of accounts.
+type accountLog struct {
+	second     atomic.Int64 // Unix time
+	written    atomic.Int64 // lines in this second
+	suppressed atomic.Int64 // since the last line
+}
+
+func (l *accountLog) allow(now time.Time) (suppressed int64, ok bool) {
+	if second := now.Unix(); l.second.Swap(second) != second {
+		l.written.Store(0)
+	}
+	if l.written.Add(1) > maxAccountLinesPerSecond {
+		l.suppressed.Add(1)
+		return 0, false
+	}
+	return l.suppressed.Swap(0), true
+}
+
+// identify returns the account of a request, nil for none, and removes the key and the
+// client's own account header. The error is result.Unauthenticated if the route requires
+// a valid key. Without accounts in the configuration the headers are left alone.
+func (e *entry) identify(snapshot *mesh.Snapshot, route *mesh.Route, r *port.Request) (*mesh.Account, error) {
+	if snapshot.Accounts == nil {
+		return nil, nil
+	}
+	keys := removeHeader(r.Header, e.Headers.AccountKey)
+	removeHeader(r.Header, e.Headers.Account)
+	problem := ""
+	var account *mesh.Account
+	switch {
+	case len(keys) == 0:
+		problem = "missing"
+	case len(slices.Compact(keys)) > 1:
+		// Two programs on the path could each honour another one.
+		problem = "ambiguous"
+	default:
+		if account = snapshot.AccountByKey(keys[0]); account == nil {
+			problem = "unknown"
+		}
+	}
+	if account != nil || route.Anonymous {
+		return account, nil
+	}
+	metrics.GetOrRegisterCounter("accounts.unauthenticated", e.Metrics).Inc(1)
+	if suppressed, ok := e.accountLines.allow(time.Now()); ok {
+		e.Logger.Warn().Str("request", r.Header.Get(e.Headers.RequestID)).Str("route", string(route.ID)).
+			Uint64("version", uint64(snapshot.Version)).Str("key", problem).Int64("left_out", suppressed).Msg("request without a valid key refused")
+	}
+	return nil, result.Unauthenticated.Errorf("the key of the request is %s", problem)
+}
+
+// setAccount makes a call one of an account; nil: of none.
+func setAccount(c *mesh.Call, account *mesh.Account) {
+	if account == nil {
+		return
+	}
+	c.Account, c.Regions.Account = account.Name, account.Regions
+	if account.HasPriority {
+		c.Priority, c.HasPriority = account.Priority, true
+	}
+}
+
+// removeHeader deletes a header in any spelling and returns its values.
+func removeHeader(h http.Header, name string) (values []string) {
+	for spelling := range h {
+		if strings.EqualFold(spelling, name) {
+			values = append(values, h[spelling]...)
+			delete(h, spelling)
+		}
+	}
+	return values
+}
+
+// setAccountHeader tells the server the account of an attempt. An entry node that has an
+// older configuration, without accounts, still forwards the client's headers.
+func (o *owner) setAccountHeader(h http.Header, a *wire.Attempt) {
+	snapshot := o.Snapshot.Load()
+	if a.Call.Account == "" && (snapshot == nil || snapshot.Accounts == nil) {
+		return
+	}
+	removeHeader(h, o.Headers.AccountKey)
+	removeHeader(h, o.Headers.Account)
+	if a.Call.Account != "" {
+		h.Set(o.Headers.Account, string(a.Call.Account))
+	}
+}
--- /dev/null
+++ b/plugins/callrelay/accounts_test.go
@@ -0,0 +1,137 @@
+package callrelay
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"teaselring/kernel"
+	"teaselring/mesh"
+	"teaselring/port"
+	"teaselring/wire"
+)
+
+// withAccounts puts a configuration with an account and an anonymous route into force.
+func (n *node) withAccounts() *node {
+	s := &mesh.Snapshot{Version: 2, Routes: []mesh.Route{
+		{ID: "r", Host: "h", PathPrefix: "/read/", Service: "s", Class: mesh.ClassRead, Timeout: 2 * time.Second, MaxAttempts: 2, Priority: 3, HasPriority: true},
+		{ID: "a", Host: "h", PathPrefix: "/open/", Service: "s", Class: mesh.ClassRead, Timeout: 2 * time.Second, MaxAttempts: 2, Anonymous: true},
+	}}
+	Expect(s.IndexByHost()).To(Succeed())
+	s.AddAccount(mesh.Account{Name: "hotel", Priority: 1, HasPriority: true}, []string{"k-hotel"})
+	n.entry.Snapshot.Store(s)
+	return n
+}
+
+// sendRaw parses a request as the edge does and sends it through the node.
+func (n *node) sendRaw(head, body string) *port.Response {
+	GinkgoHelper()
+	r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(head + "\r\nHost: h\r\nId: 1\r\nLeft: 1500\r\n" + body)))
+	Expect(err).NotTo(HaveOccurred())
+	held, err := io.ReadAll(r.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return n.entry.serve(context.Background(), &port.Request{Request: r, Buffered: held, Length: int64(len(held)), Arrived: time.Now()})
+}
+
+// Guards against a key that reaches a server, and against an account that a client claims.
+var _ = DescribeTable("a request with accounts in force",
+	func(head, body string, status int, account string) {
+		address, requests := server(okResponse("1", "ok"))
+		n := newNode(address).withAccounts()
+		var log bytes.Buffer
+		n.entry.Logger = kernel.NewLogger(&log)
+		response := n.sendRaw(head, body)
+		Expect(response.Status).To(Equal(status), string(response.Buffered))
+		Expect(log.String()+string(response.Buffered)).NotTo(ContainSubstring("k-"), "no key in logs and refusals")
+		if status != http.StatusOK {
+			Expect(requests).NotTo(Receive())
+			return
+		}
+		var r *http.Request
+		Expect(requests).To(Receive(&r))
+		Expect(strings.Join(r.Header.Values("Payer"), ",")).To(Equal(account))
+		var sent bytes.Buffer
+		Expect(r.Header.Write(&sent)).To(Succeed())
+		Expect(strings.ToLower(sent.String())).NotTo(ContainSubstring("k-"))
+		Expect(r.Trailer).To(BeEmpty())
+	},
+	Entry("with a valid key", "GET /read/x HTTP/1.1\r\nSecret: k-hotel", "\r\n", 200, "hotel"),
+	Entry("without a key", "GET /read/x HTTP/1.1", "\r\n", 401, ""),
+	Entry("with an empty key", "GET /read/x HTTP/1.1\r\nSecret:", "\r\n", 401, ""),
+	Entry("with an unknown key", "GET /read/x HTTP/1.1\r\nSecret: k-other", "\r\n", 401, ""),
+	Entry("in capitals, with a claimed account", "GET /read/x HTTP/1.1\r\nSECRET: k-hotel\r\npAYER: bank\r\nPayer: bank", "\r\n", 200, "hotel"),
+	Entry("with the key twice", "GET /read/x HTTP/1.1\r\nSecret: k-hotel\r\nsecret: k-hotel", "\r\n", 200, "hotel"),
+	Entry("with two keys", "GET /read/x HTTP/1.1\r\nSecret: k-hotel\r\nSecret: k-other", "\r\n", 401, ""),
+	Entry("with both headers listed in Connection", "GET /read/x HTTP/1.1\r\nConnection: Secret, Payer\r\nSecret: k-hotel\r\nPayer: bank", "\r\n", 200, "hotel"),
+	Entry("with both headers in trailers", "POST /read/x HTTP/1.1\r\nSecret: k-hotel\r\nTransfer-Encoding: chunked\r\nTrailer: Secret, Payer",
+		"\r\n1\r\nx\r\n0\r\nSecret: k-hotel\r\nPayer: bank\r\n\r\n", 200, "hotel"),
+	Entry("with the key only in a trailer", "POST /read/x HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTrailer: Secret",
+		"\r\n1\r\nx\r\n0\r\nSecret: k-hotel\r\n\r\n", 401, ""),
+	Entry("with the nodes' own header", "GET /read/x HTTP/1.1\r\nTeasel-Account: hotel", "\r\n", 401, ""),
+	Entry("without a key on an anonymous route", "GET /open/x HTTP/1.1\r\nPayer: bank\r\nTeasel-Account: bank", "\r\n", 200, ""),
+	Entry("with a valid key on an anonymous route", "GET /open/x HTTP/1.1\r\nSecret: k-hotel\r\nPayer: bank", "\r\n", 200, "hotel"),
+	Entry("with an unknown key on an anonymous route", "GET /open/x HTTP/1.1\r\nSecret: k-other\r\nPayer: bank", "\r\n", 200, ""),
+)
+
+var _ = Describe("the key of a request", func() {
+	It("is looked up in the configuration in force for each request, so that a removed key is refused", func() {
+		address, _ := server(okResponse("1", "ok"))
+		n := newNode(address).withAccounts()
+		Expect(n.sendRaw("GET /read/x HTTP/1.1\r\nSecret: k-hotel", "\r\n").Status).To(Equal(200))
+		next := *n.entry.Snapshot.Load()
+		next.Accounts = nil
+		next.RequireAccounts()
+		n.entry.Snapshot.Store(&next)
+		Expect(n.sendRaw("GET /read/x HTTP/1.1\r\nSecret: k-hotel", "\r\n").Status).To(Equal(401))
+	})
+
+	It("is not sent to an owner node, which gets the account and its priority", func() {
+		address, requests := server(okResponse("1", "ok"))
+		n := newNode().withAccounts()
+		r, err := http.ReadRequest(bufio.NewReader(strings.NewReader("GET /read/x HTTP/1.1\r\nHost: h\r\nId: 1\r\nSecret: k-hotel\r\nPayer: bank\r\nTeasel-Account: bank\r\n\r\n")))
+		Expect(err).NotTo(HaveOccurred())
+		incoming := &port.Request{Request: r, Arrived: time.Now()}
+		c, err := n.entry.newCall(incoming)
+		Expect(err).NotTo(HaveOccurred())
+		_, _, err = n.entry.runRemote(context.Background(), &wire.Attempt{ID: "1/1", Call: c.call, Target: mesh.Target{PeerAddress: address}}, incoming)
+		Expect(err).NotTo(HaveOccurred())
+		var sent *http.Request
+		Expect(requests).To(Receive(&sent))
+		Expect(sent.Header).NotTo(Or(HaveKey("Secret"), HaveKey("Payer")))
+		Expect(sent.Header["Teasel-Account"]).To(Equal([]string{"hotel"}))
+		Expect(sent.Header.Get(wire.HeaderPriority)).To(Equal("1"))
+	})
+
+	// The entry node may be a configuration version behind.
+	It("and a claimed account are removed by an owner node that has accounts when its entry node has none", func() {
+		address, requests := server(okResponse("1", "ok"))
+		n := newNode(address).withAccounts()
+		r := httptest.NewRequest("GET", "/read/x", nil)
+		r.Header = http.Header{"Id": {"1"}, "Secret": {"k-hotel"}, "Payer": {"bank"}}
+		a := wire.Attempt{ID: "1/1", Call: mesh.Call{Service: "s", Deadline: time.Now().Add(time.Second)}}
+		a.Write(r.Header, time.Now())
+		n.entry.owner.ServeHTTP(httptest.NewRecorder(), r)
+		var sent *http.Request
+		Expect(requests).To(Receive(&sent))
+		Expect(sent.Header).NotTo(Or(HaveKey("Secret"), HaveKey("Payer")))
+	})
+})
+
+var _ = Describe("a configuration without accounts", func() {
+	It("leaves the headers of keys and accounts alone", func() {
+		address, requests := server(okResponse("1", "ok"))
+		Expect(newNode(address).sendRaw("GET /read/x HTTP/1.1\r\nSecret: a\r\nSecret: b\r\nPayer: bank", "\r\n").Status).To(Equal(200))
+		var r *http.Request
+		Expect(requests).To(Receive(&r))
+		Expect(r.Header["Secret"]).To(Equal([]string{"a", "b"}))
+		Expect(r.Header["Payer"]).To(Equal([]string{"bank"}))
+	})
+})
--- a/plugins/callrelay/entry.go
+++ b/plugins/callrelay/entry.go
@@ -27,6 +27,8 @@
 	pool      *pool
 	successes successLog
 	answered  metrics.Counter // calls
+	// accountLines limits the log lines about refused requests of accounts.
+	accountLines accountLog
 }
 
 func newEntry(in *relayIn, o *owner) *entry {
@@ -80,6 +82,10 @@
 		return c, result.NoRoute.Errorf("no route matches %s%s in version %d", r.Host, path, snapshot.Version)
 	}
 	c.route, c.version = route, snapshot.Version
+	account, err := e.identify(snapshot, route, r)
+	if err != nil {
+		return c, err
+	}
 	if route.Unusable {
 		return c, result.RouteUnusable.Errorf("route %q was not understood in version %d", route.ID, snapshot.Version)
 	}
@@ -97,6 +103,7 @@
 		SoftDeadline: r.Arrived.Add(target), StartBy: r.Arrived.Add(max(time.Duration(startByShare*float64(target)), min(minStartWindow, timeout/2))),
 		Priority: route.Priority, HasPriority: route.HasPriority, BodyLength: r.Length, Regions: mesh.AllowedRegions{Route: route.Regions}, Fingerprint: fingerprint(r, e.PlatformSettings.Service),
 	}
+	setAccount(&c.call, account)
 	if !c.call.Deadline.After(time.Now()) {
 		return c, result.DeadlineBefore.Err()
 	}
--- a/plugins/callrelay/owner.go
+++ b/plugins/callrelay/owner.go
@@ -125,6 +125,7 @@
 	id := h.Get(o.Headers.RequestID)
 	h.Set(o.Headers.DeadlineMS, wire.FormatRemaining(a.Call.Deadline, time.Now().Add(responseMargin)))
 	h.Set(o.Headers.Caller, string(a.Call.Caller))
+	o.setAccountHeader(h, a)
 	h.Del(o.Headers.Expect)
 	if admitted.Instance != "" {
 		h.Set(o.Headers.Expect, admitted.Instance)
--- a/plugins/callrelay/relay_test.go
+++ b/plugins/callrelay/relay_test.go
@@ -44,7 +44,7 @@
 // headers are the header names of a fictitious platform.
 var headers = port.CallHeaders{
 	RequestID: "Id", DeadlineMS: "Left", Signature: "Proof", Expect: "Only", Instance: "Server", NotRun: "Not-Run",
-	Caller: "From", ReadLoad: func(http.Header) *mesh.Load { return nil },
+	Caller: "From", AccountKey: "Secret", Account: "Payer", ReadLoad: func(http.Header) *mesh.Load { return nil },
 }
 
 // node is an entry node with a scripted router and scripted slots. Its only target
