Discount reported load and slowness by their age; compare more servers after a refusal

A reported load returns to the mean of the service instead of zero, and the expected time of an endpoint counts the slowness that it reports. A call that was refused compares two more endpoints for each that it has tried.

--- a/decision/routing/choose.go
+++ b/decision/routing/choose.go
@@ -97,26 +97,24 @@
 	return remote
 }
 
-// choose compares two random endpoints of each tier, nearest first. It stops at the
-// first tier where the best endpoint so far is sufficient; otherwise the lowest
-// score wins.
+// choose compares random endpoints of each tier, nearest first. It stops at the first
+// tier where the best endpoint so far is sufficient; otherwise the lowest score wins.
 func (r *Router) choose(s *service, v mesh.UpstreamVersion, q *Query, rnd Random, now time.Time) *endpoint {
 	byTier := r.candidates(s, v, q, now)
 	if !q.Call.SoftDeadline.IsZero() && r.servedInZone(s, v, q) {
 		r.dropRecentRefusals(&byTier, now)
 	}
 	var best *endpoint
-	var bestScore float64
+	var bestTime estimate
 	for t := range tierCount {
-		list := byTier[t]
-		if len(list) == 0 {
+		if len(byTier[t]) == 0 {
 			continue
 		}
-		e, score := r.betterOfTwo(list, t, s, q, rnd, now)
-		if best == nil || score < bestScore {
-			best, bestScore = e, score
+		e, x := r.bestOfRandom(byTier[t], t, s, q, rnd, now)
+		if best == nil || x.score < bestTime.score {
+			best, bestTime = e, x
 		}
-		if t < remote && r.isSufficient(best, bestScore, t, s, q, now) {
+		if t < remote && r.isSufficient(best, bestTime, t, s, q, now) {
 			break
 		}
 	}
@@ -127,7 +125,7 @@
 // tiers further away: its load is low, it is not much slower than the average of the
 // service, and it does not fail. For a call with a soft deadline, the response must
 // instead be expected well before then.
-func (r *Router) isSufficient(e *endpoint, score float64, t tier, s *service, q *Query, now time.Time) bool {
+func (r *Router) isSufficient(e *endpoint, x estimate, t tier, s *service, q *Query, now time.Time) bool {
 	spill := r.params.ZoneSpill
 	if t == sameRegion {
 		spill = r.params.RegionSpill
@@ -138,62 +136,68 @@
 		if q.Call.BodyLength >= r.params.LongBodyBytes {
 			deadlineShare = r.params.LongBodyDeadlineShare
 		}
-		return failures < 0.5 && score <= deadlineShare*float64(q.Call.SoftDeadline.Sub(now))
+		return failures < 0.5 && x.expected <= deadlineShare*float64(q.Call.SoftDeadline.Sub(now))
 	}
-	return e.load(now, &r.params) < spill*e.capacity(now, &r.params) && failures < 0.5 &&
+	return e.load(s, now, &r.params) < spill*e.capacity(now, &r.params) && failures < 0.5 &&
 		(t == sameRegion || latency <= r.params.SlowFactor*s.meanLatency)
 }
 
-// betterOfTwo returns the endpoint with the lower score of two random ones of a
-// non-empty list.
-func (r *Router) betterOfTwo(list []*endpoint, t tier, s *service, q *Query, rnd Random, now time.Time) (*endpoint, float64) {
-	i := rnd.IntN(len(list))
-	a := list[i]
-	scoreA := r.score(a, t, s, q, now)
-	if len(list) == 1 {
-		return a, scoreA
-	}
-	j := rnd.IntN(len(list) - 1)
-	if j >= i {
-		j++
-	}
-	b := list[j]
-	if scoreB := r.score(b, t, s, q, now); scoreB < scoreA*(1-tieMargin) {
-		return b, scoreB
+const (
+	// firstChoices is the number of random endpoints that are compared for the first
+	// attempt of a call, and moreChoices is added for each endpoint that it has tried. More
+	// choices at first would send the calls of all entry nodes to the same endpoints.
+	firstChoices, moreChoices = 2, 2
+	// tieMargin is the relative difference of scores below which the first random choice
+	// wins, so that endpoints whose averages differ by less than noise share calls.
+	tieMargin = 0.01
+)
+
+// bestOfRandom returns the endpoint with the lowest score of some random ones of a
+// non-empty list, which it reorders.
+func (r *Router) bestOfRandom(list []*endpoint, t tier, s *service, q *Query, rnd Random, now time.Time) (best *endpoint, bestTime estimate) {
+	for i := range min(len(list), firstChoices+moreChoices*len(q.Tried)) {
+		j := i + rnd.IntN(len(list)-i)
+		list[i], list[j] = list[j], list[i]
+		if x := r.estimate(list[i], t, s, q, now); best == nil || x.score < bestTime.score*(1-tieMargin) {
+			best, bestTime = list[i], x
+		}
 	}
-	return a, scoreA
+	return best, bestTime
 }
 
-// tieMargin is the relative difference of scores below which the first random choice
-// wins, so that endpoints whose averages differ by less than noise share calls.
-const tieMargin = 0.01
+// estimate holds times in ns to the response of one more call: network round trip,
+// wait for a slot and execution on an endpoint.
+type estimate struct {
+	expected float64
+	// score also counts the risk that reports are out of date, and spreads calls over
+	// endpoints with free slots.
+	score float64
+}
 
-// score estimates the time in ns to the response of one more call: network round
-// trip, wait for a slot and execution on this endpoint.
-func (r *Router) score(e *endpoint, t tier, s *service, q *Query, now time.Time) float64 {
-	roundTrip := [tierCount]time.Duration{0, r.params.RegionCost, r.params.RemoteCost}[t]
+func (r *Router) estimate(e *endpoint, t tier, s *service, q *Query, now time.Time) estimate {
+	roundTrip := float64([tierCount]time.Duration{0, r.params.RegionCost, r.params.RemoteCost}[t])
 	meanLatency := s.meanLatency
 	if meanLatency == 0 {
 		meanLatency = float64(time.Millisecond)
 	}
 	call, failures := s.history(e, meanLatency, now, r.params.HistoryDecayTime)
-	call *= 1 + r.params.FailureCost*failures
-	load := e.load(now, &r.params)
-	return float64(roundTrip) + call*(s.routeFactor(q.Call.Route)+normalizedWait(load, e.capacity(now, &r.params)))
-}
-
-// normalizedWait is the expected wait for a slot in units of the call duration. The
-// quadratic term distinguishes lightly loaded endpoints; the linear term counts the
-// calls that must end first.
-func normalizedWait(load, capacity float64) float64 {
-	utilization := (load + 1) / capacity
-	wait := utilization * utilization
-	if excess := load + 1 - capacity; excess > 0 {
-		wait += excess / capacity
+	call *= (1 + r.params.FailureCost*failures) * e.slowFactor(now, &r.params)
+	load, capacity := e.load(s, now, &r.params)+1, e.capacity(now, &r.params)
+	utilization := load / capacity
+	queued := max(load-capacity, 0) / capacity // calls that must end first, for each slot
+	execution := call * s.routeFactor(q.Call.Route)
+	return estimate{
+		expected: roundTrip + execution + call*(fullWait*power4(min(utilization, 1))+queued),
+		score:    roundTrip + execution + call*(power4(utilization)+queued),
 	}
-	return wait
 }
 
+// fullWait is the expected wait at an endpoint whose last slot is about to be taken, in
+// units of the call duration.
+const fullWait = 0.25
+
+func power4(x float64) float64 { return x * x * x * x }
+
 func (e *endpoint) target() mesh.Target {
 	m := &e.member
 	return mesh.Target{
--- a/decision/routing/endpoint.go
+++ b/decision/routing/endpoint.go
@@ -16,12 +16,8 @@
 	failures   float64 // share of attempts that failed, 0 to 1
 	lastSample time.Time
 
-	// externalLoad is the load from other entry nodes, as of the last load report.
-	externalLoad  float64
-	reportedLimit int       // 0 when unknown
-	limitAt       time.Time // of reportedLimit
-	reportedAt    time.Time
-	refusedAt     time.Time // last refusal under load
+	reported  reported
+	refusedAt time.Time // last refusal under load
 
 	unanswered   int // consecutive attempts that timed out without a response
 	avoidUntil   time.Time
@@ -50,55 +46,7 @@
 	}
 }
 
-// updateLoad applies a load report. It must be called while the attempt is still
-// counted as in flight, since the report includes it. The values are clamped because
-// an upstream may report anything, and smoothed so that not all entry nodes move to
-// the same endpoint after one low report.
-func (e *endpoint) updateLoad(load *mesh.Load, now time.Time, p *Params) {
-	if load == nil {
-		return
-	}
-	slots := e.slots()
-	e.reportedLimit, e.limitAt = min(max(load.Limit, 0), slots), now
-	total := min(max(load.InFlight, 0), slots) + min(max(load.Queued, 0), maxQueue)
-	old := e.decayedExternalLoad(now, p)
-	e.externalLoad = old + p.ReportSmoothing*(math.Max(0, float64(total-e.inFlight))-old)
-	e.reportedAt = now
-}
-
-// maxQueue is the longest queue that a service record can declare.
-const maxQueue = 1024
-
-func (e *endpoint) slots() int { return max(e.member.Endpoint.Slots, 1) }
-
-// capacity returns the number of calls that the endpoint runs at once. A reported limit
-// is forgotten like the load: an owner node that is rarely chosen because of a low limit
-// can't report that it has risen.
-func (e *endpoint) capacity(now time.Time, p *Params) float64 {
-	slots := float64(e.slots())
-	if e.reportedLimit == 0 {
-		return slots
-	}
-	age := float64(now.Sub(e.limitAt)) / float64(p.HistoryDecayTime)
-	return slots - (slots-float64(e.reportedLimit))*math.Exp(-age)
-}
-
-// load estimates the number of attempts at the endpoint. This node's own attempts
-// have full weight, the external load less, since reports lag.
-func (e *endpoint) load(now time.Time, p *Params) float64 {
-	return float64(e.inFlight) + p.ReportWeight*e.decayedExternalLoad(now, p)
-}
-
-// decayedExternalLoad is the external load, decayed with the age of the report.
-func (e *endpoint) decayedExternalLoad(now time.Time, p *Params) float64 {
-	if e.externalLoad == 0 {
-		return 0
-	}
-	return e.externalLoad * math.Exp(-float64(now.Sub(e.reportedAt))/float64(p.LoadDecayTime))
-}
-
-// record updates averages and penalties with an outcome. s is nil unless the call was
-// answered. The first sample of an endpoint is averaged with the mean of the
+// record updates averages and penalties with an outcome. The first sample of an endpoint is averaged with the mean of the
 // service, since the first call after a start is often slow.
 func (e *endpoint) record(o *mesh.Outcome, s *service, now time.Time, p *Params) {
 	weight := p.weight(e.lastSample, now)
@@ -113,14 +61,14 @@
 		}
 	case refusedUnderLoad(o):
 		if noFreeSlot(o) {
-			e.recordRefusal(now, p)
+			e.recordRefusal(s, now, p)
 		}
-	case s != nil:
+	case answered(o):
 		e.unanswered = 0
 		if e.latency == 0 {
 			e.latency = s.meanLatency
 		}
-		e.latency = movingAverage(e.latency, float64(o.Duration)/s.routeFactor(o.Route), weight)
+		e.latency = movingAverage(e.latency, usualDuration(o)/s.routeFactor(o.Route), weight)
 		e.recover(now)
 	}
 	e.lastSample = now
@@ -178,13 +126,6 @@
 	return o.Code == result.DeadlineDuring.Number && o.Status == 0 && o.Duration >= minWait
 }
 
-// recordRefusal raises the load to capacity after a refusal under load, which the
-// last report may contradict.
-func (e *endpoint) recordRefusal(now time.Time, p *Params) {
-	e.externalLoad = math.Max(e.decayedExternalLoad(now, p), (e.capacity(now, p)-float64(e.inFlight))/p.ReportWeight)
-	e.reportedAt, e.refusedAt = now, now
-}
-
 // penalize starts or doubles the penalty. Attempts on one broken connection fail
 // together, so failures during a penalty do not extend it.
 func (e *endpoint) penalize(now time.Time, p *Params) {
--- a/decision/routing/router.go
+++ b/decision/routing/router.go
@@ -21,13 +21,12 @@
 	// SlowFactor is the ratio of an endpoint's latency to the mean of its service
 	// above which endpoints outside the zone are compared as well.
 	SlowFactor float64
-	// ReportWeight is the weight of reported load relative to own attempts in
-	// flight, ReportSmoothing the weight of a new report in the moving average.
-	ReportWeight    float64
-	ReportSmoothing float64
-	// LoadDecayTime is the time constant of the exponential decay of a reported
-	// load.
+	// LoadDecayTime is the time constant with which a reported load returns to the mean
+	// of the service.
 	LoadDecayTime time.Duration
+	// SlownessDecayTime is the same for a reported slowness, which lasts for parts of a
+	// second.
+	SlownessDecayTime time.Duration
 	// HistoryDecayTime is the same for the averages of an endpoint without calls. An
 	// endpoint that looked slow at first gets calls again after three times that.
 	HistoryDecayTime time.Duration
@@ -66,12 +65,12 @@
 
 // DefaultParams returns the values used in production. RegionCost is the round trip
 // between zones of both deployments (0.5 ms one way). The program measure/routing
-// compares values of ZoneSpill, SlowFactor, the weights and LoadDecayTime.
+// compares values of ZoneSpill and SlowFactor.
 func DefaultParams() Params {
 	return Params{
 		RegionCost: time.Millisecond, RemoteCost: 60 * time.Millisecond,
 		ZoneSpill: 0.25, RegionSpill: 0.9, SlowFactor: 1.25,
-		ReportWeight: 0.7, ReportSmoothing: 0.5, LoadDecayTime: 500 * time.Millisecond,
+		LoadDecayTime: 200 * time.Millisecond, SlownessDecayTime: 200 * time.Millisecond,
 		HistoryDecayTime: 3 * time.Second, MinSampleWeight: 0.01, SmoothingTime: 3 * time.Second, FailureCost: 10, SameZoneDeadlineShare: 0.8,
 		LongBodyDeadlineShare: 0.95, LongBodyBytes: 16 << 10,
 		PenaltyBase: 100 * time.Millisecond, PenaltyMax: 5 * time.Second, TrialTimeout: 5 * time.Second,
@@ -120,6 +119,7 @@
 	routeLatency map[mesh.RouteID]float64
 	lastSample   time.Time // time of the last answered call
 	failures     baseline
+	mean         meanLoad
 }
 
 // maxRoutes bounds the routes with their own average.
@@ -138,11 +138,11 @@
 func (s *service) record(o *mesh.Outcome, now time.Time, p *Params) {
 	weight := p.weight(s.lastSample, now)
 	s.lastSample = now
-	s.meanLatency = movingAverage(s.meanLatency, float64(o.Duration), weight)
+	s.meanLatency = movingAverage(s.meanLatency, usualDuration(o), weight)
 	if s.routeLatency == nil || len(s.routeLatency) >= maxRoutes {
 		s.routeLatency = map[mesh.RouteID]float64{}
 	}
-	s.routeLatency[o.Route] = movingAverage(s.routeLatency[o.Route], float64(o.Duration), max(weight, p.MinSampleWeight))
+	s.routeLatency[o.Route] = movingAverage(s.routeLatency[o.Route], usualDuration(o), max(weight, p.MinSampleWeight))
 }
 
 // New returns a router without endpoints.
@@ -231,15 +231,13 @@
 	if e == nil {
 		return
 	}
-	e.updateLoad(o.Load, now, &r.params)
+	s := r.byService[e.member.Endpoint.Service]
+	e.updateLoad(o.Load, s, now, &r.params)
 	e.end()
-	s := r.byService[o.Target.Service]
-	if s != nil && answered(&o) {
+	if answered(&o) {
 		s.record(&o, now, &r.params)
-		e.record(&o, s, now, &r.params)
-		return
 	}
-	e.record(&o, nil, now, &r.params)
+	e.record(&o, s, now, &r.params)
 }
 
 // ExpectedLatency returns the average latency of the service, or 0 without samples.
