--- a/cmd/teaselctl/main.go
+++ b/cmd/teaselctl/main.go
@@ -27,6 +27,8 @@
 	exitTimeout     = 3
 	exitUnreachable = 4
 	exitNotApplied  = 5
+	exitInvalid     = 6
+	exitDoubtful    = 7
 )
 
 const exitCodes = `Exit codes:
@@ -35,7 +37,9 @@
   2  the command line, a file or an environment variable is wrong
   3  the timeout expired; the request may still take effect
   4  the node is unreachable
-  5  the watched move was taken back, or nodes refused the version (apply --wait)`
+  5  the watched move was taken back, or nodes refused the version (apply --wait)
+  6  check: nodes would refuse the configuration
+  7  check: nodes would take the configuration, but something in it can't be as intended`
 
 // defaultTimeout is longer than a node takes for all attempts of a publication on
 // a slow platform.
@@ -99,7 +103,7 @@
 		}
 		return nil
 	}
-	root.AddCommand(c.apply(), c.validate(), c.get(), c.diff(), c.status(), c.move(), c.drain(), c.audit(), c.version())
+	root.AddCommand(c.apply(), c.validate(), c.check(), c.get(), c.diff(), c.status(), c.move(), c.drain(), c.audit(), c.version())
 	return root
 }
 
--- a/mesh/account.go
+++ b/mesh/account.go
@@ -1,6 +1,10 @@
 package mesh
 
-import "crypto/sha256"
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+)
 
 // AccountName identifies a client account.
 type AccountName string
@@ -55,3 +59,26 @@
 	}
 	return s.accountByKey[keyDigest(sha256.Sum256([]byte(key)))]
 }
+
+// KeyCount returns the number of keys that identify an account.
+func (s *Snapshot) KeyCount(name AccountName) int {
+	n := 0
+	for _, a := range s.accountByKey {
+		if a.Name == name {
+			n++
+		}
+	}
+	return n
+}
+
+// KeyText describes the keys of an account, so that two versions can be compared: their
+// number, and a checksum that does not tell the keys.
+func (s *Snapshot) KeyText(name AccountName) string {
+	var sum uint32
+	for digest, a := range s.accountByKey {
+		if a.Name == name {
+			sum += binary.BigEndian.Uint32(digest[:]) // the order of a map is random
+		}
+	}
+	return fmt.Sprintf("%d (checksum %04x)", s.KeyCount(name), uint16(sum>>16))
+}
