Start no calls on the users' platform before the first configuration

Cause: after a power loss other nodes may have the configuration before the node beside a cold server, which then knew no bound. Spec: plugins/callslots (a cold upstream).

--- a/plugins/callslots/cold_test.go
+++ b/plugins/callslots/cold_test.go
@@ -94,6 +94,17 @@
 		}),
 	)
 
+	// After a power loss other nodes may have the configuration first.
+	It("gets nothing before the node knows what it tolerates", func() {
+		n = startNode("10s")
+		n.snapshot.Store(nil)
+		announce(time.Now(), hour)
+		_, err := kernel.Do(context.Background(), n.Admits, admitOf("1"))
+		Expect(result.Of(err)).To(Equal(result.Draining))
+		configure(rate)
+		Expect(admit(50)).To(Equal(2))
+	})
+
 	It("has no bound where the service has no cold rate", func() {
 		configure(0)
 		Expect(admit(50)).To(Equal(50))
--- a/plugins/callslots/upstream.go
+++ b/plugins/callslots/upstream.go
@@ -147,13 +147,20 @@
 }
 
 // capacity returns the number of slots and the length of the queue. The slots are
-// those that the upstream announced, capped by the service's record.
+// those that the upstream announced, capped by the service's record. On the users' platform
+// there are none before the first configuration: the upstream may be cold, and what it
+// tolerates is not known.
 func (d *duty) capacity(e *mesh.Endpoint) (slots, queue int) {
 	slots, queue = e.Slots, d.in.Settings.DefaultQueue
-	if snapshot := d.in.Snapshot.Load(); snapshot != nil {
-		if s, found := snapshot.Services[e.Service]; found {
-			slots, queue = min(slots, s.Slots), s.Queue
+	snapshot := d.in.Snapshot.Load()
+	if snapshot == nil {
+		if d.in.PlatformSettings != nil {
+			slots = 0
 		}
+		return slots, queue
+	}
+	if s, found := snapshot.Services[e.Service]; found {
+		slots, queue = min(slots, s.Slots), s.Queue
 	}
 	return slots, queue
 }
