--- a/decision/limit/fair_test.go
+++ b/decision/limit/fair_test.go
@@ -151,6 +151,27 @@
 		}
 	})
 
+	It("find room in a queue that a heavy one has filled", func() {
+		o.Resize(1, 4)
+		request := func(id string, account mesh.AccountName) (*Refusal, error) {
+			return o.Enqueue(Request{Attempt: mesh.AttemptID(id), Class: mesh.ClassRead, Deadline: at(time.Minute), Account: account}, start)
+		}
+		for i := range 5 {
+			_, err := request(fmt.Sprint("h", i), "heavy")
+			Expect(err).NotTo(HaveOccurred())
+			o.dispatch(start)
+		}
+		_, err := request("h5", "heavy")
+		Expect(err).To(HaveOccurred())
+		evicted, err := request("s", "small")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(evicted.Attempt).To(BeEquivalentTo("h4"))
+		o.Release("h0", false, nil, at(time.Millisecond))
+		Expect(o.dispatch(at(time.Millisecond))).To(ConsistOf(mesh.AttemptID("h1")), "it came first, neither has used more")
+		o.Release("h1", false, nil, at(2*time.Millisecond))
+		Expect(o.dispatch(at(2 * time.Millisecond))).To(ConsistOf(mesh.AttemptID("s")))
+	})
+
 	It("keep a bounded number of entries while calls wait", func() {
 		o.Resize(1, 1024)
 		for i := range 5000 {
--- a/decision/limit/wait_test.go
+++ b/decision/limit/wait_test.go
@@ -71,6 +71,15 @@
 		Expect(got["short"].share()).To(BeNumerically(">", 0.95))
 		Expect(got["upload"].share()).To(BeNumerically(">", 0.95))
 	})
+
+	// All calls without an account share one flow, except short ones.
+	It("starves neither short calls nor uploads without an account", func() {
+		got := replay(o, time.Second, 61*time.Second,
+			load{rate: 70, hold: hold, target: 2 * time.Second},
+			load{rate: 5, hold: hold, target: 150 * time.Millisecond},
+			load{rate: 5, hold: 2 * hold, target: time.Second, class: mesh.ClassUpload})
+		Expect(got[""].share()).To(BeNumerically(">", 0.45))
+	})
 })
 
 // On the day with the highest load 10,395 of 38,503 arrivals at one service were refused by
