Leave the availability zone only for a gain and for known room

The response must be expected earlier by the cost of the body's bytes, a setting. Servers outside that refuse get calls in growing pauses, and a call tries three of them at most.

The check of the busiest server's load is moved from four zones to one: with fewer calls that leave, the zones differ more.

--- a/decision/routing/choose.go
+++ b/decision/routing/choose.go
@@ -11,16 +11,6 @@
 // Random is a source of random numbers, such as *rand.Rand of math/rand/v2.
 type Random interface{ IntN(n int) int }
 
-// tier is the distance class of an endpoint.
-type tier int
-
-const (
-	sameZone tier = iota
-	sameRegion
-	remote
-	tierCount
-)
-
 // Pick chooses an endpoint for an attempt, or returns an error with
 // result.NoEndpoint. It does not count the attempt as in flight; Begin does.
 func (r *Router) Pick(q *Query, splits *mesh.Splits, rnd Random, now time.Time) (mesh.Target, error) {
@@ -47,17 +37,6 @@
 	return target, nil
 }
 
-// servedInZone reports whether this node's zone has a ready endpoint of a version that may
-// get the call.
-func (r *Router) servedInZone(s *service, v mesh.UpstreamVersion, q *Query) bool {
-	for _, e := range s.endpoints {
-		if e.member.Endpoint.Version == v && e.member.Ready() && q.allows(&e.member) && r.distance(&e.member) == sameZone {
-			return true
-		}
-	}
-	return false
-}
-
 // allows reports whether the operator lets the call run at a member: its zone is not
 // being evacuated, and its region is one of the call's.
 func (q *Query) allows(m *mesh.Member) bool {
@@ -78,31 +57,15 @@
 	return byTier
 }
 
-// dropRecentRefusals removes endpoints outside the zone that refused a call within
-// RefusalBackoff. Without it, under overload each call of a zone was sent to all
-// other zones, and these requests were a third of the bytes between zones.
-func (r *Router) dropRecentRefusals(byTier *[tierCount][]*endpoint, now time.Time) {
-	for t := sameZone + 1; t < tierCount; t++ {
-		byTier[t] = slices.DeleteFunc(byTier[t], func(e *endpoint) bool { return now.Sub(e.refusedAt) < r.params.RefusalBackoff })
-	}
-}
-
-func (r *Router) distance(m *mesh.Member) tier {
-	switch {
-	case m.Zone == r.self.Zone && m.Region == r.self.Region:
-		return sameZone
-	case m.Region == r.self.Region:
-		return sameRegion
-	}
-	return remote
-}
-
 // choose compares random endpoints of each tier, nearest first. It stops at the first
-// tier where the best endpoint so far is sufficient; otherwise the lowest score wins.
+// tier where the best endpoint so far is sufficient. Otherwise the lowest score wins, or,
+// for a call with a soft deadline that has endpoints in its zone, the expected time if
+// that pays the cost of leaving.
 func (r *Router) choose(s *service, v mesh.UpstreamVersion, q *Query, rnd Random, now time.Time) *endpoint {
 	byTier := r.candidates(s, v, q, now)
-	if !q.Call.SoftDeadline.IsZero() && r.servedInZone(s, v, q) {
-		r.dropRecentRefusals(&byTier, now)
+	bound := !q.Call.SoftDeadline.IsZero() && r.servedInZone(s, v, q)
+	if bound {
+		r.dropOutside(&byTier, q, now)
 	}
 	var best *endpoint
 	var bestTime estimate
@@ -110,8 +73,15 @@
 		if len(byTier[t]) == 0 {
 			continue
 		}
-		e, x := r.bestOfRandom(byTier[t], t, s, q, rnd, now)
-		if best == nil || x.score < bestTime.score {
+		e, x := r.bestOfRandom(byTier[t], firstChoices+moreChoices*len(q.Tried), t, s, q, rnd, now)
+		if bound && t == sameZone && !r.isSufficient(e, x, t, s, q, now) {
+			e, x = r.bestOfRandom(byTier[t], leavingChoices, t, s, q, rnd, now)
+		}
+		better := best == nil || x.score < bestTime.score
+		if bound && best != nil {
+			better = x.expected+r.leavingCost(q) < bestTime.expected
+		}
+		if better {
 			best, bestTime = e, x
 		}
 		if t < remote && r.isSufficient(best, bestTime, t, s, q, now) {
@@ -133,12 +103,12 @@
 	latency, failures := s.history(e, s.meanLatency, now, r.params.HistoryDecayTime)
 	if !q.Call.SoftDeadline.IsZero() {
 		deadlineShare := r.params.SameZoneDeadlineShare
-		if q.Call.BodyLength >= r.params.LongBodyBytes {
+		if r.bodyLength(q) >= r.params.LongBodyBytes {
 			deadlineShare = r.params.LongBodyDeadlineShare
 		}
 		return failures < 0.5 && x.expected <= deadlineShare*float64(q.Call.SoftDeadline.Sub(now))
 	}
-	return e.load(s, now, &r.params) < spill*e.capacity(now, &r.params) && failures < 0.5 &&
+	return e.load(now, &r.params) < spill*e.capacity(now, &r.params) && failures < 0.5 &&
 		(t == sameRegion || latency <= r.params.SlowFactor*s.meanLatency)
 }
 
@@ -147,6 +117,9 @@
 	// attempt of a call, and moreChoices is added for each endpoint that it has tried. More
 	// choices at first would send the calls of all entry nodes to the same endpoints.
 	firstChoices, moreChoices = 2, 2
+	// leavingChoices is the number of endpoints of the zone that are compared before a call
+	// leaves it: all of the zone in deployments of the known sizes.
+	leavingChoices = 10
 	// tieMargin is the relative difference of scores below which the first random choice
 	// wins, so that endpoints whose averages differ by less than noise share calls.
 	tieMargin = 0.01
@@ -154,8 +127,8 @@
 
 // bestOfRandom returns the endpoint with the lowest score of some random ones of a
 // non-empty list, which it reorders.
-func (r *Router) bestOfRandom(list []*endpoint, t tier, s *service, q *Query, rnd Random, now time.Time) (best *endpoint, bestTime estimate) {
-	for i := range min(len(list), firstChoices+moreChoices*len(q.Tried)) {
+func (r *Router) bestOfRandom(list []*endpoint, choices int, t tier, s *service, q *Query, rnd Random, now time.Time) (best *endpoint, bestTime estimate) {
+	for i := range min(len(list), choices) {
 		j := i + rnd.IntN(len(list)-i)
 		list[i], list[j] = list[j], list[i]
 		if x := r.estimate(list[i], t, s, q, now); best == nil || x.score < bestTime.score*(1-tieMargin) {
@@ -182,7 +155,7 @@
 	}
 	call, failures := s.history(e, meanLatency, now, r.params.HistoryDecayTime)
 	call *= (1 + r.params.FailureCost*failures) * e.slowFactor(now, &r.params)
-	load, capacity := e.load(s, now, &r.params)+1, e.capacity(now, &r.params)
+	load, capacity := e.load(now, &r.params)+1, e.capacity(now, &r.params)
 	utilization := load / capacity
 	queued := max(load-capacity, 0) / capacity // calls that must end first, for each slot
 	execution := call * s.routeFactor(q.Call.Route)
--- a/decision/routing/endpoint.go
+++ b/decision/routing/endpoint.go
@@ -16,8 +16,11 @@
 	failures   float64 // share of attempts that failed, 0 to 1
 	lastSample time.Time
 
-	reported  reported
-	refusedAt time.Time // last refusal under load
+	reported reported
+	mean     *meanLoad // of the service's endpoints in the zone
+	// refusals counts the refusals under load since the last answer.
+	refusals    int
+	pausedUntil time.Time // after a refusal, for calls of other zones
 
 	unanswered   int // consecutive attempts that timed out without a response
 	avoidUntil   time.Time
@@ -30,7 +33,7 @@
 // resetHistory drops the observations of an earlier upstream process. Attempts in
 // flight stay counted until their outcomes arrive.
 func (e *endpoint) resetHistory() {
-	*e = endpoint{member: e.member, inFlight: e.inFlight}
+	*e = endpoint{member: e.member, inFlight: e.inFlight, mean: e.mean}
 }
 
 func (e *endpoint) begin(now time.Time, trialTimeout time.Duration) {
@@ -61,10 +64,10 @@
 		}
 	case refusedUnderLoad(o):
 		if noFreeSlot(o) {
-			e.recordRefusal(s, now, p)
+			e.recordRefusal(now, p)
 		}
 	case answered(o):
-		e.unanswered = 0
+		e.unanswered, e.refusals = 0, 0
 		if e.latency == 0 {
 			e.latency = s.meanLatency
 		}
--- a/decision/routing/load.go
+++ b/decision/routing/load.go
@@ -1,7 +1,9 @@
 package routing
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"teaselring/mesh"
@@ -11,7 +13,7 @@
 // Load pattern: some of the servers are slower for parts of a second, and an entry node
 // sees a report of each about once a second, since reports arrive only with responses.
 // A figure is therefore discounted as it ages: a load returns to the mean of the
-// service, a slowness to the usual speed.
+// service in that zone, a slowness to the usual speed.
 
 const (
 	// maxQueue is the longest queue that a service record can declare.
@@ -33,7 +35,8 @@
 	slownessAt   time.Time
 }
 
-// meanLoad is the mean external load of a service's endpoints for each of their slots.
+// meanLoad is the mean external load of a service's endpoints in one zone, for each of
+// their slots.
 type meanLoad struct {
 	perSlot float64
 	at      time.Time
@@ -61,7 +64,7 @@
 // updateLoad applies a load report. It must be called while the attempt is still
 // counted as in flight, since the report includes it. The values are clamped because
 // an upstream may report anything.
-func (e *endpoint) updateLoad(load *mesh.Load, s *service, now time.Time, p *Params) {
+func (e *endpoint) updateLoad(load *mesh.Load, now time.Time, p *Params) {
 	if load == nil {
 		return
 	}
@@ -69,7 +72,7 @@
 	e.reported.limit, e.reported.limitAt = min(max(load.Limit, 0), slots), now
 	total := min(max(load.InFlight, 0), slots) + min(max(load.Queued, 0), maxQueue)
 	e.reported.externalLoad, e.reported.at = float64(max(total-e.inFlight, 0)), now
-	s.mean.record(e.reported.externalLoad/float64(slots), now, p)
+	e.mean.record(e.reported.externalLoad/float64(slots), now, p)
 	if load.Slowness > 0 {
 		e.reported.slowness, e.reported.slownessAt = min(float64(load.Slowness)/100, maxSlowness), now
 	}
@@ -107,15 +110,15 @@
 
 // load estimates the number of attempts at the endpoint: this node's own, and those of
 // other entry nodes.
-func (e *endpoint) load(s *service, now time.Time, p *Params) float64 {
-	return float64(e.inFlight) + e.externalLoad(s, now, p)
+func (e *endpoint) load(now time.Time, p *Params) float64 {
+	return float64(e.inFlight) + e.externalLoad(now, p)
 }
 
 // externalLoad returns the last reported load of other entry nodes, which returns to the
-// mean of the service as it ages. It used to return to zero, so that endpoints without a
+// mean of its zone as it ages. It used to return to zero, so that endpoints without a
 // recent report looked idle.
-func (e *endpoint) externalLoad(s *service, now time.Time, p *Params) float64 {
-	mean := s.mean.value(now, p) * float64(e.slots())
+func (e *endpoint) externalLoad(now time.Time, p *Params) float64 {
+	mean := e.mean.value(now, p) * float64(e.slots())
 	if e.reported.at.IsZero() {
 		return mean
 	}
@@ -124,7 +127,25 @@
 
 // recordRefusal raises the load to capacity after a refusal under load, which the
 // last report may contradict.
-func (e *endpoint) recordRefusal(s *service, now time.Time, p *Params) {
-	e.reported.externalLoad = max(e.externalLoad(s, now, p), e.capacity(now, p)-float64(e.inFlight))
-	e.reported.at, e.refusedAt = now, now
+func (e *endpoint) recordRefusal(now time.Time, p *Params) {
+	e.reported.externalLoad = max(e.externalLoad(now, p), e.capacity(now, p)-float64(e.inFlight))
+	e.reported.at = now
+	e.pause(now, p)
+}
+
+// zoneMean returns the mean load of the service's endpoints in a zone.
+func (s *service) zoneMean(zone mesh.Zone) *meanLoad {
+	if s.meanLoads == nil {
+		s.meanLoads = map[mesh.Zone]*meanLoad{}
+	}
+	if s.meanLoads[zone] == nil {
+		s.meanLoads[zone] = &meanLoad{}
+	}
+	return s.meanLoads[zone]
+}
+
+func (s *service) dropEmptyZones() {
+	maps.DeleteFunc(s.meanLoads, func(_ mesh.Zone, m *meanLoad) bool {
+		return !slices.ContainsFunc(s.endpoints, func(e *endpoint) bool { return e.mean == m })
+	})
 }
--- a/decision/routing/router.go
+++ b/decision/routing/router.go
@@ -22,7 +22,7 @@
 	// above which endpoints outside the zone are compared as well.
 	SlowFactor float64
 	// LoadDecayTime is the time constant with which a reported load returns to the mean
-	// of the service.
+	// of the service in the endpoint's zone.
 	LoadDecayTime time.Duration
 	// SlownessDecayTime is the same for a reported slowness, which lasts for parts of a
 	// second.
@@ -55,9 +55,17 @@
 	// four times the endpoint's average latency.
 	UnansweredThreshold int
 	UnansweredAfter     time.Duration
-	// RefusalBackoff is the time for which an endpoint outside the zone that refused
-	// a call under load gets no calls that have endpoints in the zone.
-	RefusalBackoff time.Duration
+	// RefusalPause is the time for which an endpoint outside the zone that refused a call
+	// under load gets no calls that have endpoints in the zone. It doubles with each
+	// further refusal, up to RefusalPauseMax.
+	RefusalPause    time.Duration
+	RefusalPauseMax time.Duration
+	// MaxOutside is the number of endpoints outside the zone that such a call may try.
+	MaxOutside int
+	// ZoneCostPerKiB is the time by which the response to such a call must be expected
+	// earlier outside the zone, for each KiB of its body. It stands for the price of bytes
+	// between zones.
+	ZoneCostPerKiB time.Duration
 	// TrialTimeout is the time after which a trial call without an outcome no longer
 	// blocks further trials.
 	TrialTimeout time.Duration
@@ -74,7 +82,8 @@
 		HistoryDecayTime: 3 * time.Second, MinSampleWeight: 0.01, SmoothingTime: 3 * time.Second, FailureCost: 10, SameZoneDeadlineShare: 0.8,
 		LongBodyDeadlineShare: 0.95, LongBodyBytes: 16 << 10,
 		PenaltyBase: 100 * time.Millisecond, PenaltyMax: 5 * time.Second, TrialTimeout: 5 * time.Second,
-		RefusalBackoff: 250 * time.Millisecond, UnansweredThreshold: 3, UnansweredAfter: 500 * time.Millisecond,
+		RefusalPause: 100 * time.Millisecond, RefusalPauseMax: 2 * time.Second, MaxOutside: 3, ZoneCostPerKiB: time.Millisecond,
+		UnansweredThreshold: 3, UnansweredAfter: 500 * time.Millisecond,
 	}
 }
 
@@ -119,7 +128,7 @@
 	routeLatency map[mesh.RouteID]float64
 	lastSample   time.Time // time of the last answered call
 	failures     baseline
-	mean         meanLoad
+	meanLoads    map[mesh.Zone]*meanLoad
 }
 
 // maxRoutes bounds the routes with their own average.
@@ -179,10 +188,12 @@
 			services[m.Endpoint.Service] = s
 		}
 		s.endpoints = append(s.endpoints, e)
+		e.mean = s.zoneMean(m.Zone)
 	}
 	r.nodes, r.byService = nodes, services
 	for _, s := range services {
 		s.chooseCurrentVersion()
+		s.dropEmptyZones()
 	}
 }
 
@@ -232,7 +243,7 @@
 		return
 	}
 	s := r.byService[e.member.Endpoint.Service]
-	e.updateLoad(o.Load, s, now, &r.params)
+	e.updateLoad(o.Load, now, &r.params)
 	e.end()
 	if answered(&o) {
 		s.record(&o, now, &r.params)
--- a/plugins/callrouter/setup.go
+++ b/plugins/callrouter/setup.go
@@ -22,6 +22,7 @@
 	MaxAttempts   int             `toml:"max_attempts" comment:"upper limit of the attempts of one call, with the first"`
 	RetryBurst    int             `toml:"retry_burst" comment:"number of retries that a caller has before its calls earn any"`
 	PenaltyMax    kernel.Duration `toml:"penalty_max" comment:"longest time for which an endpoint that does not answer is avoided"`
+	ZoneCost      kernel.Duration `toml:"zone_cost_per_kib" comment:"time that a call must gain for each KiB of its body before it leaves its zone"`
 }
 
 // Validate checks the ranges of all values.
@@ -32,6 +33,7 @@
 		kernel.InRange("max_attempts", s.MaxAttempts, 1, 10),
 		kernel.InRange("retry_burst", s.RetryBurst, 0, 100),
 		kernel.SpanInRange("penalty_max", s.PenaltyMax, 100*time.Millisecond, time.Minute),
+		kernel.SpanInRange("zone_cost_per_kib", s.ZoneCost, 0, time.Second),
 	} {
 		if err != nil {
 			return err
@@ -46,12 +48,13 @@
 		MaxAttempts: retry.DefaultPolicy().MaxAttempts,
 		RetryBurst:  int(retry.DefaultBudgetParams().Burst),
 		PenaltyMax:  kernel.Span(routing.DefaultParams().PenaltyMax),
+		ZoneCost:    kernel.Span(routing.DefaultParams().ZoneCostPerKiB),
 	}
 }
 
 func (s *Settings) routing() routing.Params {
 	p := routing.DefaultParams()
-	p.PenaltyMax = s.PenaltyMax.Duration
+	p.PenaltyMax, p.ZoneCostPerKiB = s.PenaltyMax.Duration, s.ZoneCost.Duration
 	return p
 }
 
