Limit client accounts over all nodes

Credit of requests that did not run goes back to the bucket. At the limit a request gets 429 with Retry-After.

--- a/cmd/teasel-sidecar/plugins.go
+++ b/cmd/teasel-sidecar/plugins.go
@@ -4,6 +4,7 @@
 // function.
 import (
 	_ "teaselring/platform"
+	_ "teaselring/plugins/accountlimits"
 	_ "teaselring/plugins/callrelay"
 	_ "teaselring/plugins/callrouter"
 	_ "teaselring/plugins/callslots"
--- a/plugins/callrelay/accounts.go
+++ b/plugins/callrelay/accounts.go
@@ -1,6 +1,7 @@
 package callrelay
 
 import (
+	"context"
 	"net/http"
 	"slices"
 	"strings"
@@ -9,6 +10,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"teaselring/kernel"
 	"teaselring/mesh"
 	"teaselring/port"
 	"teaselring/result"
@@ -105,3 +107,47 @@
 		h.Set(o.Headers.Account, string(a.Call.Account))
 	}
 }
+
+// serveCharged runs a call within the limit of its account. The credit of a call that did
+// not run is given back. A call that is sent to several servers is charged once.
+func (c *call) serveCharged(ctx context.Context) (*port.Response, error) {
+	account := c.Snapshot.Load().Accounts[c.call.Account]
+	if account == nil || account.Rate <= 0 {
+		return c.serve(ctx)
+	}
+	if _, err := kernel.Do(ctx, c.Charges, port.AccountCharge{Account: account.Name}); err != nil {
+		if result.Of(err) == result.Stopped && ctx.Err() != nil {
+			err = result.DeadlineBefore.Errorf("the call ended while it waited for credit of its account")
+		}
+		return nil, err
+	}
+	response, err := c.serve(ctx)
+	if err != nil && result.Of(err).Ran == result.NotRun {
+		_ = c.Returns.Send(ctx, port.AccountReturn{Account: account.Name}) // refused when full: the credit is lost
+	}
+	return response, err
+}
+
+// logEnd logs the result of a call. The rate of lines about calls at the limit of their
+// account is limited.
+func (c *call) logEnd(response *port.Response, err error) {
+	if result.Of(err) != result.AccountLimit {
+		c.logResult(response, err)
+		return
+	}
+	c.countResult(err)
+	if suppressed, ok := c.accountLines.allow(time.Now()); ok {
+		c.Logger.Info().Str("request", c.id).Str("route", string(c.route.ID)).Str("account", string(c.call.Account)).
+			Uint64("version", uint64(c.version)).Int("code", result.AccountLimit.Number).Int64("left_out", suppressed).Err(err).Msg("account at its limit")
+	}
+}
+
+// refuse returns the response to a request that got none from a server. For an account at
+// its limit it says when there is room again.
+func (e *entry) refuse(c *call, err error) *port.Response {
+	response := e.refusal(c, err)
+	if after := result.AsError(err).Details[port.RetryAfterDetail]; after != "" {
+		response.Header.Set("Retry-After", after)
+	}
+	return response
+}
--- a/plugins/callrelay/accounts_test.go
+++ b/plugins/callrelay/accounts_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"time"
 
@@ -16,6 +17,7 @@
 	"teaselring/kernel"
 	"teaselring/mesh"
 	"teaselring/port"
+	"teaselring/result"
 	"teaselring/wire"
 )
 
@@ -27,6 +29,7 @@
 	}}
 	Expect(s.IndexByHost()).To(Succeed())
 	s.AddAccount(mesh.Account{Name: "hotel", Priority: 1, HasPriority: true}, []string{"k-hotel"})
+	s.AddAccount(mesh.Account{Name: "chain", Rate: 2, Burst: 2}, []string{"k-chain"})
 	n.entry.Snapshot.Store(s)
 	return n
 }
@@ -125,13 +128,61 @@
 	})
 })
 
+// Guards against charges for calls that did not run, and for each of several attempts.
+var _ = Describe("the limit of an account", func() {
+	const limited = "GET /read/x HTTP/1.1\r\nSecret: k-chain"
+	refusedRun := "HTTP/1.1 503 Busy\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+
+	It("is charged once for a call that runs at its second attempt", func() {
+		busy, _ := server(refusedRun)
+		address, _ := server(okResponse("1", "ok"))
+		n := newNode(busy, address).withAccounts()
+		n.retry = true
+		Expect(n.sendRaw(limited, "\r\n").Status).To(Equal(200))
+		Expect(n.charged.Load()).To(BeEquivalentTo(1))
+		Expect(n.entry.Returns.Len()).To(BeZero())
+	})
+
+	It("gets the credit back for a call that did not run, and not for one that may have run", func() {
+		busy, _ := server(refusedRun)
+		n := newNode(busy).withAccounts()
+		Expect(n.sendRaw(limited, "\r\n").Status).To(Equal(503))
+		Expect(n.entry.Returns.Len()).To(Equal(1))
+		lost, _ := server(closeAfter)
+		n = newNode(lost).withAccounts()
+		Expect(n.sendRaw(limited, "\r\n").Status).To(Equal(502))
+		Expect(n.entry.Returns.Len()).To(BeZero())
+	})
+
+	It("is answered with 429 and the time until there is room, without an attempt", func() {
+		address, requests := server(okResponse("1", "ok"))
+		n := newNode(address).withAccounts()
+		n.chargeError = result.AccountLimit.Errorf("at its limit").With(port.RetryAfterDetail, "0.250")
+		response := n.sendRaw(limited, "\r\n")
+		Expect(response.Status).To(Equal(429))
+		Expect(response.Header.Get("Retry-After")).To(Equal("0.250"))
+		Expect(code(response)).To(Equal(strconv.Itoa(result.AccountLimit.Number)))
+		Expect(requests).NotTo(Receive())
+	})
+
+	It("is not asked for accounts without limit and requests without account", func() {
+		address, _ := server(okResponse("1", "ok"), okResponse("1", "ok"))
+		n := newNode(address, address).withAccounts()
+		Expect(n.sendRaw("GET /read/x HTTP/1.1\r\nSecret: k-hotel", "\r\n").Status).To(Equal(200))
+		Expect(n.sendRaw("GET /open/x HTTP/1.1", "\r\n").Status).To(Equal(200))
+		Expect(n.charged.Load()).To(BeZero())
+	})
+})
+
 var _ = Describe("a configuration without accounts", func() {
 	It("leaves the headers of keys and accounts alone", func() {
 		address, requests := server(okResponse("1", "ok"))
-		Expect(newNode(address).sendRaw("GET /read/x HTTP/1.1\r\nSecret: a\r\nSecret: b\r\nPayer: bank", "\r\n").Status).To(Equal(200))
+		n := newNode(address)
+		Expect(n.sendRaw("GET /read/x HTTP/1.1\r\nSecret: a\r\nSecret: b\r\nPayer: bank", "\r\n").Status).To(Equal(200))
 		var r *http.Request
 		Expect(requests).To(Receive(&r))
 		Expect(r.Header["Secret"]).To(Equal([]string{"a", "b"}))
 		Expect(r.Header["Payer"]).To(Equal([]string{"bank"}))
+		Expect(n.charged.Load()).To(BeZero())
 	})
 })
--- a/plugins/callrelay/entry.go
+++ b/plugins/callrelay/entry.go
@@ -39,21 +39,21 @@
 func (e *entry) serve(ctx context.Context, r *port.Request) *port.Response {
 	c, err := e.newCall(r)
 	if err != nil {
-		return e.refusal(c, err)
+		return e.refuse(c, err)
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.call.Deadline)
 	var response *port.Response
 	err = e.Guard.Run("call", c.id, func() (err error) {
-		response, err = c.serve(ctx)
+		response, err = c.serveCharged(ctx)
 		return err
 	})
 	if errors.Is(err, kernel.ErrPanic) {
 		c.releaseCaller(c.lastOutcome)
 	}
-	c.logResult(response, err)
+	c.logEnd(response, err)
 	if err != nil {
 		cancel()
-		return e.refusal(c, err)
+		return e.refuse(c, err)
 	}
 	if response.Remaining == nil {
 		cancel()
--- a/plugins/callrelay/relay_test.go
+++ b/plugins/callrelay/relay_test.go
@@ -54,6 +54,8 @@
 	servers       []string // IP:port, one for each attempt to come
 	retry         bool     // verdict of the router on failed attempts
 	retryRequests atomic.Int64
+	charged       atomic.Int64
+	chargeError   error // result of charges to an account
 	// admitted is called when an attempt is admitted; nil: no call.
 	admitted func()
 }
@@ -96,6 +98,11 @@
 			return port.Admission{Upstream: netip.MustParseAddrPort(address), Instance: "i"}, nil
 		}),
 		Release: kernel.NewRing[port.SlotRelease]("release", 64, kernel.ReplaceOldest),
+		Charges: scriptedRing("charges", func(c port.AccountCharge) (struct{}, error) {
+			n.charged.Add(1)
+			return struct{}{}, n.chargeError
+		}),
+		Returns: kernel.NewRing[port.AccountReturn]("returns", 64, kernel.Refuse),
 	}
 	n.entry = newEntry(&in, &owner{relayIn: &in, pool: newPool(), calls: new(atomic.Int64)})
 	return n
--- a/plugins/callrelay/setup.go
+++ b/plugins/callrelay/setup.go
@@ -36,6 +36,8 @@
 	Retries          *port.RetryRing
 	Admit            *port.AdmitRing
 	Release          *port.ReleaseRing
+	Charges          *port.AccountChargeRing
+	Returns          *port.AccountReturnRing
 	Load             *port.LoadCell
 	Grace            *kernel.Grace
 	Guard            *kernel.Guard
