--- a/decision/quota/grantor.go
+++ b/decision/quota/grantor.go
@@ -16,6 +16,9 @@
 	minWholeShare = 0.25
 	// refusedDecay is the time constant of the rate of refused requests.
 	refusedDecay = time.Second
+	// gatherTime is the time in which the shares of most nodes arrive at a new granting
+	// node. Before, the rate is too low to tell when an account has room.
+	gatherTime = 500 * time.Millisecond
 	// minRoomWait and maxRoomWait bound the time until an account has room.
 	minRoomWait = 20 * time.Millisecond
 	maxRoomWait = 5 * time.Second
@@ -41,7 +44,8 @@
 	delegations map[mesh.NodeID]*delegation
 	buckets     map[mesh.AccountName]*bucket
 	sums        shareSums
-	fresh       float64 // sum of the shares that were delegated fresh
+	fresh       float64   // sum of the shares that were delegated fresh
+	began       time.Time // when the first share was delegated while there was none
 }
 
 // shareSums are the sums over the delegations of a shard.
@@ -135,6 +139,9 @@
 		delete(s.delegations, ask.Node)
 		return
 	}
+	if len(s.delegations) == 0 {
+		s.began = now
+	}
 	if current == nil || !current.until.After(now) {
 		current = &delegation{since: now, fresh: ask.Fresh&(1<<shard) != 0}
 		s.delegations[ask.Node] = current
@@ -237,8 +244,12 @@
 	b.refused += float64(d.Refused) / refusedDecay.Seconds()
 	grant := Grant{Account: d.Account, Granted: b.take(d.Waiting), Paid: b.take(d.Unpaid)}
 	if missing := d.Waiting + d.Unpaid - grant.Granted - grant.Paid; missing > 0 {
-		grant.Wait = roomAfter(1-b.tokens, rate, minRoomWait)
 		grant.Excess = b.refused + float64(d.Waiting-grant.Granted)
+		if now.Sub(s.began) < gatherTime {
+			grant.Wait = minRoomWait
+			return grant
+		}
+		grant.Wait = roomAfter(1-b.tokens, rate, minRoomWait)
 		grant.Spread = roomAfter(grant.Excess, rate, 0)
 		return grant
 	}
--- a/plugins/accountlimits/duty.go
+++ b/plugins/accountlimits/duty.go
@@ -21,9 +21,10 @@
 	// maxWait is how long a request waits for credit: an answer of a granting node that
 	// stands still for a moment.
 	maxWait = 90 * time.Millisecond
-	// tick is the interval in which due asks are sent and waits end, idleTick that without
-	// limits.
-	tick     = 20 * time.Millisecond
+	// waitTick is the interval in which due asks are sent and waits end while requests
+	// wait, tick that while none waits, idleTick that without limits.
+	waitTick = 20 * time.Millisecond
+	tick     = 50 * time.Millisecond
 	idleTick = 500 * time.Millisecond
 	// maxRounds bounds the asks to the node itself at one moment.
 	maxRounds = 3
@@ -54,7 +55,7 @@
 	d := newLimits(in, time.Now())
 	return kernel.Duty{
 		Name: "account-limits", Owns: "the credit of client accounts that this node holds, and the buckets from which it grants credit",
-		In: []string{chargeRing, returnRing, askRing, answerRing}, Out: []string{sendRing}, Run: d.run,
+		In: []string{chargeRing, returnRing, askRing, answerRing, statusRing}, Out: []string{sendRing}, Run: d.run,
 	}
 }
 
@@ -80,7 +81,14 @@
 		case <-ctx.Done():
 			return nil
 		case request := <-d.Charges.C():
+			none := len(d.waiting) == 0
 			d.charge(ctx, time.Now(), request)
+			if none && len(d.waiting) > 0 {
+				timer.Reset(waitTick)
+			}
+		case request := <-d.Statuses.C():
+			d.refresh()
+			request.Respond(d.holder.Status(time.Now(), d.grantor))
 		case r := <-d.Returns.C():
 			d.holder.Return(r.Account)
 		case request := <-d.Inbox.C():
@@ -95,10 +103,13 @@
 }
 
 func (d *duty) interval() time.Duration {
-	if len(d.limits) == 0 {
-		return idleTick
+	switch {
+	case len(d.waiting) > 0:
+		return waitTick
+	case len(d.limits) > 0:
+		return tick
 	}
-	return tick
+	return idleTick
 }
 
 func (d *duty) tick(ctx context.Context, now time.Time) {
--- a/plugins/accountlimits/setup.go
+++ b/plugins/accountlimits/setup.go
@@ -4,6 +4,7 @@
 package accountlimits
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"time"
@@ -25,6 +26,7 @@
 	askRing    = "accounts.asks"
 	sendRing   = "accounts.sends"
 	answerRing = "accounts.answers"
+	statusRing = "accounts.status"
 
 	askPath = "/accounts"
 	// maxAskBytes is far above the size of an ask for all accounts.
@@ -45,8 +47,13 @@
 	// node, and at most three for each shard, so it has room.
 	sends   = kernel.Ring[outgoing]
 	answers = kernel.Ring[answered]
+	// statuses leads from the inbound edge to the duty.
+	statuses = kernel.Ring[kernel.Request[statusQuery, []quota.Status]]
 )
 
+// statusQuery requests the state of all accounts with a limit.
+type statusQuery struct{}
+
 // outgoing is an ask and the address of its receiver (IP:port).
 type outgoing struct {
 	quota.Outgoing
@@ -71,6 +78,7 @@
 				kernel.ProvideRing[kernel.Request[quota.Ask, quota.Answer]](askRing, 256, kernel.Refuse),
 				kernel.ProvideRing[outgoing](sendRing, 4*quota.Shards, kernel.Refuse),
 				kernel.ProvideRing[answered](answerRing, 4*quota.Shards, kernel.WaitUntilDeadline),
+				kernel.ProvideRing[kernel.Request[statusQuery, []quota.Status]](statusRing, 4, kernel.Refuse),
 				fx.Provide(newClient),
 				kernel.ProvideDuty(newDuty),
 				port.ProvideInboundRoute(newInboundRoute),
@@ -92,6 +100,7 @@
 	Inbox            *inbox
 	Sends            *sends
 	Answers          *answers
+	Statuses         *statuses
 	Snapshot         *port.SnapshotCell
 	View             *port.ViewCell
 	Rows             *port.RowsCell
@@ -99,21 +108,21 @@
 	Metrics          metrics.Registry
 }
 
-// newInboundRoute receives the asks of other nodes.
-func newInboundRoute(in *inbox) port.InboundRoute {
+// newInboundRoute receives the asks of other nodes. A GET returns the state of all
+// accounts with a limit as JSON.
+func newInboundRoute(in *inbox, status *statuses) port.InboundRoute {
 	return port.InboundRoute{Path: askPath, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		ask, ok := port.DecodePeerMessage[quota.Ask](w, r, maxAskBytes)
-		if !ok {
-			return
-		}
-		err := ask.Check()
-		var answer quota.Answer
-		if err == nil {
-			answer, err = kernel.Do(r.Context(), in, ask)
-		}
 		var body []byte
-		if err == nil {
-			body, err = cbor.Marshal(answer)
+		var err error
+		if r.Method == http.MethodGet {
+			body, err = readStatus(r, status)
+			w.Header().Set("Content-Type", "application/json")
+		} else {
+			ask, ok := port.DecodePeerMessage[quota.Ask](w, r, maxAskBytes)
+			if !ok {
+				return
+			}
+			body, err = answerAsk(r, in, ask)
 		}
 		if err != nil {
 			port.Refuse(w, err)
@@ -122,3 +131,22 @@
 		_, _ = w.Write(body)
 	})}
 }
+
+func answerAsk(r *http.Request, in *inbox, ask quota.Ask) ([]byte, error) {
+	if err := ask.Check(); err != nil {
+		return nil, err
+	}
+	answer, err := kernel.Do(r.Context(), in, ask)
+	if err != nil {
+		return nil, err
+	}
+	return cbor.Marshal(answer)
+}
+
+func readStatus(r *http.Request, ring *statuses) ([]byte, error) {
+	status, err := kernel.Do(r.Context(), ring, statusQuery{})
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(status)
+}
