--- a/decision/quota/asks.go
+++ b/decision/quota/asks.go
@@ -178,10 +178,11 @@
 func (h *Holder) Answered(now time.Time, o *Outgoing, answer *Answer) []Decided {
 	p := h.peer(o.To)
 	p.inFlight, p.failures = false, 0
+	restarted := p.stamp.Boot != answer.Stamp.Boot
 	p.stamp, p.stampAt, p.term = answer.Stamp, now, answer.Term
 	for i := range h.shards {
-		if s := &h.shards[i]; s.delegate == o.To && o.Ask.Delegated&(1<<i) == 0 {
-			s.delegate = "" // the granting node has ended it
+		if s := &h.shards[i]; s.delegate == o.To && (restarted || o.Ask.Delegated&(1<<i) == 0) {
+			s.delegate = "" // the granting node has ended it, or no longer knows it
 		}
 	}
 	var decided []Decided
--- a/decision/quota/holder.go
+++ b/decision/quota/holder.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -107,10 +108,14 @@
 // SetNodes sets the nodes that grant credit, the node itself included. Complete is false
 // while the node may not know all of them.
 func (h *Holder) SetNodes(nodes []mesh.NodeID, complete bool) {
-	h.nodes, h.count = nodes, len(nodes)
+	count := len(nodes)
 	if !complete {
-		h.count = max(h.count, minAssumedNodes)
+		count = max(count, minAssumedNodes)
 	}
+	if count == h.count && slices.Equal(nodes, h.nodes) {
+		return
+	}
+	h.nodes, h.count = nodes, count
 	for i := range h.shards {
 		h.shards[i].candidates = h.candidates(i)
 	}
@@ -129,15 +134,20 @@
 // one, for the time in which it reaches no other.
 func (h *Holder) candidates(shard int) []mesh.NodeID {
 	salt := string(rune('a' + shard))
-	order := append([]mesh.NodeID(nil), h.nodes...)
-	sort.Slice(order, func(i, j int) bool { return weight(salt, string(order[i])) > weight(salt, string(order[j])) })
-	order = order[:min(len(order), maxCandidates)]
-	for _, node := range order {
-		if node == h.self {
-			return order
+	var order []mesh.NodeID
+	var weights []uint64
+	for _, node := range h.nodes {
+		w := weight(salt, string(node))
+		at := sort.Search(len(weights), func(i int) bool { return weights[i] < w })
+		if at < maxCandidates {
+			order, weights = slices.Insert(order, at, node), slices.Insert(weights, at, w)
+			order, weights = order[:min(len(order), maxCandidates)], weights[:min(len(weights), maxCandidates)]
 		}
 	}
-	return append(order, h.self)
+	if !slices.Contains(order, h.self) {
+		order = append(order, h.self)
+	}
+	return order
 }
 
 // lineCount returns how many requests of an account may be admitted without credit.
@@ -211,7 +221,7 @@
 func (h *Holder) Abandon(now time.Time, name mesh.AccountName) {
 	if a := h.accounts[name]; a != nil && a.waiting > 0 {
 		a.waiting--
-		a.closed = now.Add(maxClosed)
+		a.closed = now.Add(minClosed)
 		h.refuse(a)
 	}
 }
