Refuse a call when no server can start it in time, and schedule the return of its caller

The router returns the time with its refusal: the caller's position among those that this node refused, at a tenth of the rate of answers, urgent ones first, within a third of the time left. It also bounds the refusals of a call, which the relay did before.

--- a/decision/routing/router.go
+++ b/decision/routing/router.go
@@ -66,6 +66,8 @@
 	// earlier outside the zone, for each KiB of its body. It stands for the price of bytes
 	// between zones.
 	ZoneCostPerKiB time.Duration
+	// MaxRefusals is the number of refusals by owner nodes after which a call is refused.
+	MaxRefusals int
 	// TrialTimeout is the time after which a trial call without an outcome no longer
 	// blocks further trials.
 	TrialTimeout time.Duration
@@ -82,7 +84,7 @@
 		HistoryDecayTime: 3 * time.Second, MinSampleWeight: 0.01, SmoothingTime: 3 * time.Second, FailureCost: 10, SameZoneDeadlineShare: 0.8,
 		LongBodyDeadlineShare: 0.95, LongBodyBytes: 16 << 10,
 		PenaltyBase: 100 * time.Millisecond, PenaltyMax: 5 * time.Second, TrialTimeout: 5 * time.Second,
-		RefusalPause: 100 * time.Millisecond, RefusalPauseMax: 2 * time.Second, MaxOutside: 3, ZoneCostPerKiB: time.Millisecond,
+		RefusalPause: 100 * time.Millisecond, RefusalPauseMax: 2 * time.Second, MaxOutside: 3, MaxRefusals: 6, ZoneCostPerKiB: time.Millisecond,
 		UnansweredThreshold: 3, UnansweredAfter: 500 * time.Millisecond,
 	}
 }
@@ -102,7 +104,9 @@
 type Query struct {
 	Call  *mesh.Call
 	Tried []mesh.NodeID // not chosen again
-	Draw  uint64        // random number, the same for all attempts of a call
+	// Refusals counts the attempts that an owner node refused and no server saw.
+	Refusals int
+	Draw     uint64 // random number, the same for all attempts of a call
 	// Evacuated holds the zones whose endpoints must get no calls.
 	Evacuated []mesh.Zone
 }
@@ -128,6 +132,7 @@
 	routeLatency map[mesh.RouteID]float64
 	lastSample   time.Time // time of the last answered call
 	failures     baseline
+	returns      returns
 	meanLoads    map[mesh.Zone]*meanLoad
 }
 
@@ -247,6 +252,7 @@
 	e.end()
 	if answered(&o) {
 		s.record(&o, now, &r.params)
+		s.returns.recordAnswer(now)
 	}
 	e.record(&o, s, now, &r.params)
 }
--- a/plugins/callrelay/call.go
+++ b/plugins/callrelay/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -19,10 +20,6 @@
 	"teaselring/wire"
 )
 
-// maxReroutes bounds the owner nodes that one call tries after refusals that did
-// not reach a server.
-const maxReroutes = 6
-
 // maxSpillWait is the longest wait for a slot outside the caller's zone, so that a
 // spilled call takes a free slot and does not queue behind the calls of that zone.
 const maxSpillWait = 40 * time.Millisecond
@@ -39,14 +36,16 @@
 
 	triedNodes  []mesh.NodeID
 	sends       int // attempts that may have reached a server
+	refusals    int // attempts that did not
 	finalError  retry.FinalError
 	lastOutcome mesh.Outcome
 }
 
-// serve runs attempts until one gets a response or no other may follow.
+// serve runs attempts until one gets a response or no other may follow. The router bounds
+// the attempts that did not reach a server.
 func (c *call) serve(ctx context.Context) (*port.Response, error) {
 	retried := false
-	for reroutes := 0; ; {
+	for {
 		response, outcome, err := c.attempt(ctx, retried)
 		if err == nil {
 			c.report(port.OutcomeReport{Outcome: outcome, CallEnded: true})
@@ -63,12 +62,9 @@
 			c.releaseCaller(outcome)
 			return nil, err
 		case !reachedServer(result.ByNumber(outcome.Code)):
-			if reroutes++; reroutes < maxReroutes {
-				retried = false
-				continue
-			}
-			c.releaseCaller(outcome)
-			return nil, err
+			c.refusals++
+			retried = false
+			continue
 		}
 		if !c.mayRetry(ctx, outcome) {
 			c.releaseCaller(outcome)
@@ -110,7 +106,7 @@
 func (c *call) attempt(ctx context.Context, retried bool) (*port.Response, mesh.Outcome, error) {
 	outcome := mesh.Outcome{Route: c.call.Route, Caller: c.call.Caller, Class: c.call.Class, LatencyTarget: c.route.Target}
 	target, err := c.pick(ctx, port.Pick{
-		Call: c.call, Tried: c.triedNodes, FirstAttempt: len(c.triedNodes) == 0, Retried: retried,
+		Call: c.call, Tried: c.triedNodes, FirstAttempt: len(c.triedNodes) == 0, Retried: retried, Refusals: c.refusals,
 	})
 	if err != nil {
 		return nil, outcome, err
@@ -163,8 +159,11 @@
 	if c.id != "" {
 		response.Header.Set(e.Headers.RequestID, c.id)
 	}
-	if response.Status == http.StatusServiceUnavailable {
-		response.Header.Set("Retry-After", fmt.Sprintf("%.3f", e.retryAfter(c).Seconds()))
+	if after := c.retryAfter(err); after > 0 || response.Status == http.StatusServiceUnavailable {
+		if after <= 0 {
+			after = c.unknownRetryAfter()
+		}
+		response.Header.Set("Retry-After", fmt.Sprintf("%.3f", after.Seconds()))
 	}
 	return response
 }
@@ -183,16 +182,26 @@
 	return http.StatusBadGateway
 }
 
+// retryAfter returns the time after which the error says that the call may be repeated; 0:
+// it says none.
+func (c *call) retryAfter(err error) time.Duration {
+	var timed interface{ RetryIn() time.Duration }
+	if errors.As(err, &timed) {
+		return timed.RetryIn()
+	}
+	return 0
+}
+
 const (
 	// retryAfterMinShare and retryAfterMaxShare bound the random Retry-After of a
-	// refusal, as shares of the target latency.
+	// refusal that has none, as shares of the target latency.
 	retryAfterMinShare = 0.1
 	retryAfterMaxShare = 0.5
 	// defaultTargetLatency is the target latency of a request without a route.
 	defaultTargetLatency = 500 * time.Millisecond
 )
 
-func (e *entry) retryAfter(c *call) time.Duration {
+func (c *call) unknownRetryAfter() time.Duration {
 	target := defaultTargetLatency
 	if c.route != nil && c.route.Target > 0 {
 		target = c.route.Target
--- a/plugins/callrelay/relay_test.go
+++ b/plugins/callrelay/relay_test.go
@@ -50,6 +50,7 @@
 // node is an entry node with a scripted router and scripted slots. Its only target
 // is itself; the attempts go to the servers in order.
 type node struct {
+	noTarget      error // of the router when no server is left; nil: result.NoEndpoint
 	entry         *entry
 	servers       []string // IP:port, one for each attempt to come
 	retry         bool     // verdict of the router on failed attempts
@@ -75,6 +76,9 @@
 		Hints: kernel.NewRing[port.RowsHint]("hints", 8, kernel.ReplaceOldest),
 		Picks: scriptedRing("picks", func(p port.Pick) (mesh.Target, error) {
 			if len(n.servers) == 0 {
+				if n.noTarget != nil {
+					return mesh.Target{}, n.noTarget
+				}
 				return mesh.Target{}, result.NoEndpoint.Err()
 			}
 			return mesh.Target{Node: "n", Service: "s"}, nil
@@ -253,6 +257,15 @@
 		Expect(response.Status).To(Equal(503))
 		Expect(response.Header.Get("Retry-After")).NotTo(BeEmpty())
 	})
+
+	// Callers returned after a random time, whatever the router expected.
+	It("tells the caller when the router expects room", func() {
+		n := newNode("")
+		n.noTarget = timedError{result.QueueFull.Err()}
+		response := n.call("POST", "/once/x", "b")
+		Expect(response.Status).To(Equal(503))
+		Expect(response.Header.Get("Retry-After")).To(Equal("0.125"))
+	})
 })
 
 var _ = Describe("a call that gets no response", func() {
@@ -362,3 +375,9 @@
 		Expect(kept).To(BeFalse())
 	})
 })
+
+// timedError is a refusal with the time of the next room.
+type timedError struct{ error }
+
+func (timedError) RetryIn() time.Duration { return 125 * time.Millisecond }
+func (e timedError) Unwrap() error        { return e.error }
--- a/plugins/callrouter/router.go
+++ b/plugins/callrouter/router.go
@@ -180,7 +180,7 @@
 			return mesh.Target{}, result.NoConfiguration.Errorf("the moves in progress are not loaded yet")
 		}
 	}
-	query := &routing.Query{Call: &q.Call, Tried: q.Tried, Draw: routing.CallDraw(d.seed, &q.Call)}
+	query := &routing.Query{Call: &q.Call, Tried: q.Tried, Refusals: q.Refusals, Draw: routing.CallDraw(d.seed, &q.Call)}
 	if d.in.Evacuations != nil {
 		if evacuations := d.in.Evacuations.Load(); evacuations != nil {
 			query.Evacuated = evacuations.Zones
--- a/port/calls.go
+++ b/port/calls.go
@@ -21,6 +21,7 @@
 	Tried        []mesh.NodeID // nodes that earlier attempts of the call used
 	Retried      bool          // a retry of the call, to be charged to the caller's budget
 	FirstAttempt bool          // the first attempt, counted against the caller's limit
+	Refusals     int           // attempts of the call that owner nodes refused and no server saw
 }
 
 // PickRing leads from the callers' edge to the router duty.
