--- a/decision/quota/grantor_test.go
+++ b/decision/quota/grantor_test.go
@@ -94,11 +94,14 @@
 		o.wait(time.Second)
 		late := o.message(Demand{Waiting: 1000}, all)
 		o.now = o.now.Add(time.Minute)
-		answer, ok := o.grantor.Answer(o.now, late, 1, o.limits)
+		_, ok := o.grantor.Answer(o.now, late, 1, o.limits)
 		Expect(ok).To(BeTrue())
-		o.last = answer.Stamp
 		o.now = o.now.Add(time.Second)
-		Expect(o.ask(Demand{Waiting: 1000}, 0).Granted).To(BeZero())
+		other := o.message(Demand{Waiting: 1000}, 0)
+		other.Node = "other"
+		answer, ok := o.grantor.Answer(o.now, other, 1, o.limits)
+		Expect(ok).To(BeTrue())
+		Expect(answer.Grants[0].Granted).To(BeZero())
 	})
 
 	It("ignores an ask that a newer one of the node has overtaken", func() {
