Leave more of an account's allowance for requests that wait at servers

Shares that were delegated for a term no longer add the start size to a bucket, and nodes hold at most 0.3 of it as unused credit in place of 0.5.

--- a/decision/quota/grantor.go
+++ b/decision/quota/grantor.go
@@ -10,7 +10,7 @@
 const (
 	// prefetchShare is the part of a bucket that nodes may hold as unused credits. The rest
 	// is for nodes that hold none.
-	prefetchShare = 0.5
+	prefetchShare = 0.3
 	// minWholeShare is the share of all nodes from which a bucket holds at least one
 	// request. With fewer, as in a partition, many such buckets would exceed the allowance.
 	minWholeShare = 0.25
@@ -194,11 +194,10 @@
 func (g *Grantor) fill(now time.Time, s *grantorShard, b *bucket, l Limit, term time.Duration) (size, rate float64) {
 	all, mature := s.shares(now, term)
 	allowance := g.settings.allowance(l)
-	start := startShare * allowance * all
+	size, rate = (l.Burst+extraBurstShare*allowance)*mature+startShare*allowance*(all-mature), l.Rate*all
 	if all >= minWholeShare {
-		start = max(start, 1)
+		size = max(size, 1)
 	}
-	size, rate = (l.Burst+extraBurstShare*allowance)*mature+start, l.Rate*all
 	elapsed := max(now.Sub(b.updated), 0)
 	b.updated = now
 	if s.fresh > b.fresh {
--- a/decision/quota/quota.go
+++ b/decision/quota/quota.go
@@ -33,8 +33,8 @@
 	Burst float64 // requests that may exceed Rate at once
 }
 
-// Parts of the allowance. The rest, 0.15, is for requests that wait at a server after
-// they were charged and so move into another window.
+// Parts of the allowance. The rest, 0.15 and for long-lasting delegations 0.3, is for
+// requests that wait at a server after they were charged and so move into another window.
 const (
 	// lineShare is for requests that nodes admit before credit is granted for them.
 	lineShare = 0.5
