--- a/plugins/accountlimits/duty.go
+++ b/plugins/accountlimits/duty.go
@@ -42,13 +42,14 @@
 	view     *mesh.View
 	complete bool // the view has all nodes
 
-	admitted, waited, refused, asks, failed metrics.Counter
-	credits                                 metrics.Gauge
+	admitted, refused, asks, failed metrics.Counter
+	credits                         metrics.Gauge
+	waits                           metrics.Histogram // ms
 }
 
 type waitingRequest struct {
 	request kernel.Request[port.AccountCharge, struct{}]
-	until   time.Time
+	since   time.Time
 }
 
 func newDuty(in dutyIn) kernel.Duty {
@@ -68,8 +69,9 @@
 		dutyIn: in, waiting: map[mesh.AccountName][]waitingRequest{},
 		holder:   quota.NewHolder(settings, in.Identity.Node, boot, now, s.FirstStart),
 		grantor:  quota.NewGrantor(settings, boot, now),
-		admitted: counter("admitted"), waited: counter("waited"), refused: counter("refused"),
+		admitted: counter("admitted"), refused: counter("refused"),
 		asks: counter("asks"), failed: counter("asks_failed"), credits: metrics.NewRegisteredGauge("accounts.credits", in.Metrics),
+		waits: metrics.NewRegisteredHistogram("accounts.wait_ms", in.Metrics, metrics.NewExpDecaySample(1028, 0.015)),
 	}
 }
 
@@ -163,8 +165,7 @@
 	case quota.Refused:
 		d.refuse(now, request)
 	case quota.Waiting:
-		d.waited.Inc(1)
-		d.waiting[name] = append(d.waiting[name], waitingRequest{request, now.Add(maxWait)})
+		d.waiting[name] = append(d.waiting[name], waitingRequest{request, now})
 		d.sendAsks(ctx, now)
 	}
 }
@@ -189,8 +190,9 @@
 // endWaits refuses the requests that waited for too long.
 func (d *duty) endWaits(now time.Time) {
 	for name, queue := range d.waiting {
-		for len(queue) > 0 && !now.Before(queue[0].until) {
+		for len(queue) > 0 && now.Sub(queue[0].since) >= maxWait {
 			d.holder.Abandon(now, name)
+			d.waits.Update(now.Sub(queue[0].since).Milliseconds())
 			d.refuse(now, queue[0].request)
 			queue = queue[1:]
 		}
@@ -268,6 +270,9 @@
 func (d *duty) apply(now time.Time, o *quota.Outgoing, answer *quota.Answer) {
 	for _, decided := range d.holder.Answered(now, o, answer) {
 		queue := d.waiting[decided.Account]
+		for _, w := range queue[:min(decided.Admitted+decided.Refused, len(queue))] {
+			d.waits.Update(now.Sub(w.since).Milliseconds())
+		}
 		admitted := min(decided.Admitted, len(queue))
 		for _, w := range queue[:admitted] {
 			d.admit(w.request)
