--- a/plugins/accountlimits/duty.go
+++ b/plugins/accountlimits/duty.go
@@ -38,6 +38,7 @@
 	waiting map[mesh.AccountName][]waitingRequest // in order of arrival
 
 	snapshot *mesh.Snapshot // that the limits were taken from
+	lowering *quota.Lowering
 	limits   map[mesh.AccountName]quota.Limit
 	view     *mesh.View
 	complete bool // the view has all nodes
@@ -67,8 +68,8 @@
 	counter := func(name string) metrics.Counter { return metrics.NewRegisteredCounter("accounts."+name, in.Metrics) }
 	return &duty{
 		dutyIn: in, waiting: map[mesh.AccountName][]waitingRequest{},
-		holder:   quota.NewHolder(settings, in.Identity.Node, boot, now, s.FirstStart),
-		grantor:  quota.NewGrantor(settings, boot, now),
+		holder:  quota.NewHolder(settings, in.Identity.Node, boot, now, s.FirstStart),
+		grantor: quota.NewGrantor(settings, boot, now), lowering: quota.NewLowering(settings),
 		admitted: counter("admitted"), refused: counter("refused"),
 		asks: counter("asks"), failed: counter("asks_failed"), credits: metrics.NewRegisteredGauge("accounts.credits", in.Metrics),
 		waits: metrics.NewRegisteredHistogram("accounts.wait_ms", in.Metrics, metrics.NewExpDecaySample(1028, 0.015)),
@@ -126,13 +127,9 @@
 
 // refresh takes over a new configuration or view.
 func (d *duty) refresh() {
-	if s := d.Snapshot.Load(); s != d.snapshot {
-		d.snapshot, d.limits = s, map[mesh.AccountName]quota.Limit{}
-		for name, a := range s.Accounts {
-			if a.Rate > 0 {
-				d.limits[name] = quota.Limit{Rate: a.Rate, Burst: a.Burst}
-			}
-		}
+	if s := d.Snapshot.Load(); s != d.snapshot || d.lowering.Pending() {
+		d.snapshot = s
+		d.limits = d.lowering.InEffect(time.Now(), configuredLimits(s))
 		d.holder.SetLimits(d.limits)
 	}
 	view, rows := d.View.Load(), d.Rows.Load()
@@ -150,6 +147,20 @@
 	d.holder.SetNodes(nodes, d.complete)
 }
 
+// configuredLimits returns the limits of the accounts that have one.
+func configuredLimits(s *mesh.Snapshot) map[mesh.AccountName]quota.Limit {
+	limits := map[mesh.AccountName]quota.Limit{}
+	if s == nil {
+		return limits
+	}
+	for name, a := range s.Accounts {
+		if a.Rate > 0 {
+			limits[name] = quota.Limit{Rate: a.Rate, Burst: a.Burst}
+		}
+	}
+	return limits
+}
+
 func (d *duty) limit(name mesh.AccountName) (quota.Limit, bool) {
 	l, limited := d.limits[name]
 	return l, limited
