Ask a few nodes for recent crashes before a restarted node serves

A request that crashes servers was sent to them again after a rolling restart, because the quarantine is only in memory and a crash is broadcast once.

--- a/decision/quarantine/table.go
+++ b/decision/quarantine/table.go
@@ -3,6 +3,8 @@
 package quarantine
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"teaselring/mesh"
@@ -25,14 +27,17 @@
 	// are ignored. It is several times the number of upstreams: nodes forward new
 	// reports, so a report dropped from the table would circulate again.
 	MaxKnownReports int
+	// MaxShared bounds the fingerprints that are passed on to a starting node.
+	MaxShared int
 }
 
 // DefaultParams returns the values used in production. MaxPerCrash is the
-// largest number of slots that a service record can declare.
+// largest number of slots that a service record can declare. MaxShared fingerprints
+// have 72 KB in a message.
 func DefaultParams() Params {
 	return Params{
 		Span: 10 * time.Minute, MaxCrashes: 128, MaxPerCrash: 4096, MaxBlocked: 4096, MaxHarmless: 8192,
-		MaxKnownReports: 8192,
+		MaxKnownReports: 8192, MaxShared: 8192,
 	}
 }
 
@@ -43,7 +48,7 @@
 type Table struct {
 	params        Params
 	reported      map[processKey]time.Time // time of the first report
-	crashes       []crash                  // by time of arrival
+	crashes       []crash                  // by time of the first report
 	blocked       map[requestKey]time.Time // end of the quarantine
 	harmless      map[requestKey]time.Time // last completion
 	harmlessOrder []requestKey             // keys of harmless, a ring of MaxHarmless
@@ -77,62 +82,102 @@
 	}
 }
 
-// Report records a crash, once for each process. It returns whether the report is
-// new, and the fingerprints that it adds to the quarantine.
+// Report records a crash, once for each process. A report that another node has kept
+// counts from its first report (Age); without that, a report passed on at each restart
+// of a node would never expire. It returns whether the report is new, and the
+// fingerprints that it adds to the quarantine.
 func (t *Table) Report(c *mesh.Crash, now time.Time) (isNew bool, quarantined []uint64) {
 	t.Expire(now)
+	at := now.Add(-max(c.Age, 0))
 	key := processKey{c.Node, c.Process}
-	if _, duplicate := t.reported[key]; duplicate || len(t.reported) >= t.params.MaxKnownReports {
+	if _, duplicate := t.reported[key]; duplicate || len(t.reported) >= t.params.MaxKnownReports || now.Sub(at) >= t.params.Span {
 		return false, nil
 	}
-	t.reported[key] = now
-	added := t.addCrash(c, now)
+	t.reported[key] = at
+	added := t.addCrash(c, at)
 	for print := range added.fingerprints {
 		request := requestKey{c.Service, print}
-		if t.inOtherCrash(&added, print) && !t.isHarmless(request, now) && t.block(request, now) {
+		other, found := t.lastOtherCrash(&added, print)
+		if found && !t.isHarmless(request, now) && t.block(request, later(at, other)) {
 			quarantined = append(quarantined, print)
 		}
 	}
 	return true, quarantined
 }
 
-func (t *Table) addCrash(c *mesh.Crash, now time.Time) crash {
-	added := crash{processKey: processKey{c.Node, c.Process}, service: c.Service, at: now, fingerprints: map[uint64]struct{}{}}
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// addCrash inserts a crash by its time. At MaxCrashes it evicts the oldest.
+func (t *Table) addCrash(c *mesh.Crash, at time.Time) crash {
+	added := crash{processKey: processKey{c.Node, c.Process}, service: c.Service, at: at, fingerprints: map[uint64]struct{}{}}
 	for _, print := range c.Fingerprints[:min(len(c.Fingerprints), t.params.MaxPerCrash)] {
 		added.fingerprints[print] = struct{}{}
 	}
 	if len(t.crashes) >= t.params.MaxCrashes {
 		t.crashes = t.crashes[1:]
 	}
-	t.crashes = append(t.crashes, added)
+	i := len(t.crashes)
+	for i > 0 && t.crashes[i-1].at.After(at) {
+		i--
+	}
+	t.crashes = slices.Insert(t.crashes, i, added)
 	return added
 }
 
-// inOtherCrash reports whether the fingerprint was in flight in a crash of another
-// process of the service.
-func (t *Table) inOtherCrash(added *crash, print uint64) bool {
-	for i := range t.crashes {
+// lastOtherCrash returns the time of the last crash of another process of the service
+// in which the fingerprint was in flight.
+func (t *Table) lastOtherCrash(added *crash, print uint64) (at time.Time, found bool) {
+	for i := len(t.crashes) - 1; i >= 0; i-- {
 		c := &t.crashes[i]
 		if c.processKey == added.processKey || c.service != added.service {
 			continue
 		}
 		if _, found := c.fingerprints[print]; found {
-			return true
+			return c.at, true
 		}
 	}
-	return false
+	return time.Time{}, false
 }
 
-// block starts or renews a quarantine, and reports whether it started one.
-func (t *Table) block(key requestKey, now time.Time) bool {
-	_, exists := t.blocked[key]
+// block starts or renews a quarantine, which lasts for Span from a crash, and reports
+// whether it started one.
+func (t *Table) block(key requestKey, crashedAt time.Time) bool {
+	end, exists := t.blocked[key]
 	if !exists && len(t.blocked) >= t.params.MaxBlocked {
 		return false
 	}
-	t.blocked[key] = now.Add(t.params.Span)
+	t.blocked[key] = later(end, crashedAt.Add(t.params.Span))
 	return !exists
 }
 
+// Recent returns the reports of a service's crashes, the newest first, with the requests
+// that are not known to be harmless. A report of harmless requests only is returned
+// without fingerprints: it shows a starting node that they are harmless. No more than
+// MaxShared fingerprints are returned in all.
+func (t *Table) Recent(service mesh.ServiceID, now time.Time) (reports []mesh.Crash) {
+	t.Expire(now)
+	left := t.params.MaxShared
+	for i := len(t.crashes) - 1; i >= 0; i-- {
+		c := &t.crashes[i]
+		if c.service != service {
+			continue
+		}
+		prints := slices.DeleteFunc(slices.Sorted(maps.Keys(c.fingerprints)), func(print uint64) bool {
+			return t.isHarmless(requestKey{service, print}, now)
+		})
+		if left -= len(prints); left < 0 {
+			break
+		}
+		reports = append(reports, mesh.Crash{Service: service, Node: c.node, Process: c.name, Fingerprints: prints, Age: now.Sub(c.at)})
+	}
+	return reports
+}
+
 // Blocked reports whether the request is in quarantine.
 func (t *Table) Blocked(service mesh.ServiceID, fingerprint uint64, now time.Time) bool {
 	end, found := t.blocked[requestKey{service, fingerprint}]
--- a/mesh/check.go
+++ b/mesh/check.go
@@ -71,6 +71,19 @@
 	return CheckSlots(e.Slots)
 }
 
+// Check returns an error if the report can't be of a crash.
+func (c *Crash) Check() error {
+	switch {
+	case c.Service == "" || c.Node == "" || c.Process == "":
+		return result.BadMessage.Errorf("the crash report names no service, node or process")
+	case len(c.Fingerprints) > MaxSlots:
+		return result.BadMessage.Errorf("%d calls in flight at a crash; allowed are %d", len(c.Fingerprints), MaxSlots)
+	case c.Age < 0:
+		return result.BadMessage.Errorf("a crash report of age %v", c.Age)
+	}
+	return CheckNames(string(c.Service), string(c.Node), c.Process)
+}
+
 // Check returns an error if the row can't be the state of a move.
 func (r *Rollout) Check() error {
 	switch r.Phase {
--- a/mesh/evidence.go
+++ b/mesh/evidence.go
@@ -47,6 +47,9 @@
 	Process      string    `cbor:"3,keyasint"`
 	Fingerprints []uint64  `cbor:"4,keyasint"` // of the calls in flight
 	At           time.Time `cbor:"5,keyasint"`
+	// Age is the time since the first report, when a node passes on a report that it has
+	// kept. A duration holds whatever the clocks of the two nodes show.
+	Age time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // Split is the traffic split of a service on one node during a move.
--- a/plugins/callslots/setup.go
+++ b/plugins/callslots/setup.go
@@ -63,6 +63,7 @@
 	releaseRing = "slots.release"
 	settleRing  = "slots.settle"
 	crashRing   = "slots.crashes"
+	recentRing  = "slots.recent"
 	pushRing    = "links.push"
 	auditRing   = "audit.entries"
 )
@@ -79,6 +80,7 @@
 				kernel.ProvideRing[port.SlotRelease](releaseRing, 1024, kernel.WaitUntilDeadline),
 				kernel.ProvideRing[kernel.Request[port.Settle, port.Settled]](settleRing, 1024, kernel.Refuse),
 				kernel.ProvideRing[mesh.Crash](crashRing, 256, kernel.Refuse),
+				kernel.ProvideRing[kernel.Request[port.RecentCrashes, []mesh.Crash]](recentRing, 16, kernel.Refuse),
 				fx.Provide(func() *port.LoadCell { return new(port.LoadCell) }),
 				kernel.ProvideDuty(newDuty),
 			)
--- a/plugins/callslots/slots.go
+++ b/plugins/callslots/slots.go
@@ -27,6 +27,8 @@
 	Releases         *port.ReleaseRing
 	Settles          *port.SettleRing
 	Crashes          *port.CrashInbox
+	Recent           *port.RecentCrashesRing
+	Learned          *port.LearnedCrashesCell `optional:"true"`
 	Local            *port.LocalCell
 	View             *port.ViewCell
 	Snapshot         *port.SnapshotCell
@@ -47,6 +49,7 @@
 	slots      *limit.Slots
 	attempts   *limit.Attempts
 	quarantine *quarantine.Table
+	learned    *port.LearnedCrashes        // the reports last recorded in the quarantine
 	active     map[mesh.AttemptID]*attempt // waiting or running
 	upstream   upstream
 	self       self
@@ -73,7 +76,7 @@
 	}
 	return kernel.Duty{
 		Name: "slots", Owns: "slots and queue of the local upstream, attempt table, quarantine",
-		In: []string{admitRing, releaseRing, settleRing, crashRing}, Out: []string{pushRing, auditRing},
+		In: []string{admitRing, releaseRing, settleRing, crashRing, recentRing}, Out: []string{pushRing, auditRing},
 		Run: d.run,
 	}
 }
@@ -96,6 +99,9 @@
 			d.settle(request, time.Now())
 		case crash := <-d.in.Crashes.C():
 			d.recordCrash(ctx, &crash, time.Now())
+		case request := <-d.in.Recent.C():
+			d.refreshUpstream(ctx, time.Now())
+			request.Respond(d.quarantine.Recent(request.Payload.Service, time.Now()))
 		case now := <-timer.C:
 			d.refreshUpstream(ctx, now)
 		}
--- a/plugins/callslots/upstream.go
+++ b/plugins/callslots/upstream.go
@@ -48,9 +48,25 @@
 	if d.in.Evacuations != nil && d.in.Evacuations.Load().Has(d.in.Identity.Zone) {
 		return result.Evacuated.Errorf("availability zone %q is being evacuated", d.in.Identity.Zone)
 	}
+	if d.in.Learned != nil && d.learned == nil {
+		return result.Draining.Errorf("the node is starting and does not know yet which requests crash upstreams")
+	}
 	return d.upstream.checkTarget(q)
 }
 
+// learnCrashes records the crashes that a starting node has learned of from others.
+func (d *duty) learnCrashes(now time.Time) {
+	if d.in.Learned == nil {
+		return
+	}
+	if learned := d.in.Learned.Load(); learned != d.learned {
+		for i := range learned.Reports {
+			d.quarantine.Report(&learned.Reports[i], now)
+		}
+		d.learned = learned
+	}
+}
+
 // checkTarget checks that the entry node chose the service and version that run
 // here now. The view of an entry node lags; the refusal makes it choose again.
 func (u *upstream) checkTarget(q *port.Admit) error {
@@ -98,6 +114,7 @@
 // refreshUpstream loads the state of the local upstream and the service's record,
 // and reports the crash of a process that has ended.
 func (d *duty) refreshUpstream(ctx context.Context, now time.Time) {
+	d.learnCrashes(now)
 	var local port.Local
 	if published := d.in.Local.Load(); published != nil {
 		local = *published
--- a/plugins/crashspread/setup.go
+++ b/plugins/crashspread/setup.go
@@ -1,7 +1,7 @@
 // Package crashspread is the plug-in "crash.spread": it broadcasts to every node of
 // the view which requests were running when a server crashed, so that all nodes
 // refuse a request that crashes servers. Crashes are rare, so each report is sent
-// to every node directly.
+// to every node directly. A node that starts asks a few others for the recent reports.
 package crashspread
 
 import (
@@ -40,6 +40,9 @@
 				kernel.ProvideRing[port.Push](pushRing, 64, kernel.ReplaceOldest),
 				kernel.ProvideDuty(newDuty),
 				port.ProvideInboundRoute(newCrashRoute),
+				fx.Provide(func() *port.LearnedCrashesCell { return new(port.LearnedCrashesCell) }),
+				kernel.ProvideDuty(newLearner),
+				port.ProvideInboundRoute(newRecentRoute),
 			)
 		},
 	})
@@ -110,7 +113,11 @@
 		if !ok {
 			return
 		}
-		if err := inbox.Send(r.Context(), crash); err != nil {
+		err := crash.Check()
+		if err == nil {
+			err = inbox.Send(r.Context(), crash)
+		}
+		if err != nil {
 			port.Refuse(w, err)
 		}
 	})}
--- a/port/links.go
+++ b/port/links.go
@@ -1,6 +1,8 @@
 package port
 
 import (
+	"time"
+
 	"teaselring/kernel"
 	"teaselring/mesh"
 	"teaselring/wire"
@@ -61,3 +63,21 @@
 
 // CrashInbox leads from link readers to the slots duty.
 type CrashInbox = kernel.Ring[mesh.Crash]
+
+// RecentCrashes requests the reports of a service's recent crashes.
+type RecentCrashes struct{ Service mesh.ServiceID }
+
+// RecentCrashesRing leads from the inbound edge to the slots duty.
+type RecentCrashesRing = kernel.Ring[kernel.Request[RecentCrashes, []mesh.Crash]]
+
+// LearnedCrashes are the reports that a starting node got from others. Until the cell
+// holds a value, the slots duty starts no attempt.
+type LearnedCrashes struct {
+	Reports []mesh.Crash
+	// CompleteAt is the time from when this node knows all recent crashes, zero if it
+	// does from the start.
+	CompleteAt time.Time
+}
+
+// LearnedCrashesCell is owned by the crash-learner duty.
+type LearnedCrashesCell = kernel.Cell[LearnedCrashes]
--- a/test/sidecar/sidecar_test.go
+++ b/test/sidecar/sidecar_test.go
@@ -279,14 +279,44 @@
 		Entry("with requests of two seconds", 2*time.Second),
 	)
 
-	// Each retry of such a request would crash another server.
-	It("stop a request that crashes servers", func() {
-		crashes := func() (n int64) {
+	crashes := func() (n int64) {
+		for _, machine := range m.Machines {
+			n += machine.Server.crashCount.Load()
+		}
+		return n
+	}
+
+	// Guards against nodes that forget such a request with their process: after a rolling
+	// restart it crashed all servers again.
+	It("refuse a request that crashes servers also after each of them was restarted", func() {
+		poison := func() {
 			for _, machine := range m.Machines {
-				n += machine.Server.crashCount.Load()
+				_, _ = machine.Call(http.MethodGet, "/read/poison", "")
 			}
-			return n
 		}
+		h.WaitUntil("the request to be refused", func() error {
+			before := crashes()
+			poison()
+			if crashes() != before {
+				return errors.New("it crashed a server")
+			}
+			return m.CheckReachability("/read/")
+		})
+		before := crashes()
+		Expect(before).To(BeNumerically(">=", 2))
+		for _, machine := range m.Machines {
+			machine.Restart()
+			h.WaitUntil(machine.name+" to be ready again", machine.Ready)
+			h.WaitUntil("every node to reach every server", func() error { return m.CheckReachability("/read/") })
+		}
+		for range 20 {
+			poison()
+		}
+		Expect(crashes()).To(Equal(before))
+	})
+
+	// Each retry of such a request would crash another server.
+	It("stop a request that crashes servers", func() {
 		for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 			for _, machine := range m.Machines {
 				_, _ = machine.Call(http.MethodGet, "/read/poison", "")
