Ignore SIGHUP from the constructors of the program until main receives it

The Go runtime keeps the default effect of SIGHUP until signal.Notify, so that a signal in the first milliseconds ended the node. A C constructor ignores it before the runtime starts. What is left is the time of the dynamic loader.

--- a/cmd/internal/nodecommand/command.go
+++ b/cmd/internal/nodecommand/command.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"teaselring/kernel"
+	_ "teaselring/kernel/earlysignal" // ignores SIGHUP until the run command receives it
 )
 
 // New returns the command line of a program whose plug-ins are registered. defaultFile
--- a/kernel/signals.go
+++ b/kernel/signals.go
@@ -18,7 +18,8 @@
 }
 
 // NotifySignals begins to receive SIGINT, SIGTERM and SIGHUP. A program calls it
-// before anything else, since an earlier SIGHUP ends the process.
+// before anything else: an earlier SIGHUP ends the process, unless the program imports
+// kernel/earlysignal, which ignores it.
 func NotifySignals() *Signals {
 	s := &Signals{stops: make(chan os.Signal, maxQueuedStops), reloads: make(chan os.Signal, 1)}
 	signal.Notify(s.stops, syscall.SIGINT, syscall.SIGTERM)
@@ -26,7 +27,7 @@
 	return s
 }
 
-// Close restores the default effect of the signals.
+// Close restores the effect that the signals had before.
 func (s *Signals) Close() {
 	signal.Stop(s.stops)
 	signal.Stop(s.reloads)
