Let the peer of a spec of links send heartbeats

A node closes the link of a peer that sends nothing for 1.5 s. The peer of the spec about recent crashes sent no heartbeats, so the link ended on a busy machine before the spec had seen two of the node's. The spec now listens for longer than that silence, which fails with the old peer.

--- a/plugins/linkoverlay/links_test.go
+++ b/plugins/linkoverlay/links_test.go
@@ -91,6 +91,18 @@
 		Expect(conn.WriteMessage(websocket.BinaryMessage, b)).To(Succeed())
 	}
 
+	// sendHeartbeats sends heartbeats until the connection ends, as each node does: a peer
+	// that sends nothing loses its link after the silence timeout.
+	sendHeartbeats := func(conn *websocket.Conn) {
+		b, err := wire.Encode(wire.Heartbeat{Sequence: 1})
+		Expect(err).NotTo(HaveOccurred())
+		go func() {
+			for conn.WriteMessage(websocket.BinaryMessage, b) == nil {
+				time.Sleep(100 * time.Millisecond)
+			}
+		}()
+	}
+
 	It("dispatches messages to the duties that handle them", func() {
 		conn := linked()
 		send(conn, wire.Heartbeat{Sequence: 1})
@@ -162,8 +174,9 @@
 			h := hello
 			h.Incarnation = incarnation
 			conn := connect(h)
-			Expect(conn.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
-			for heartbeats := 0; heartbeats < 2; {
+			sendHeartbeats(conn)
+			Expect(conn.SetReadDeadline(time.Now().Add(30 * time.Second))).To(Succeed())
+			for heartbeats := 0; heartbeats < 5; { // longer than the silence after which a link is closed
 				_, b, err := conn.ReadMessage()
 				Expect(err).NotTo(HaveOccurred())
 				m, err := wire.Decode(b)
