Test that nodes withstand misbehaving clients, with small limits

A process has 64 MB and 300 descriptors in its settings; crowds of 8 to 400 connections at each listener try to exceed them. Checked are the process, its peak resident memory (VmHWM), its open descriptors, and one ordinary request. Crowds and bounds are fixed from here on. tools/test.sh runs the package alone, after the others.

--- a/test/sidecar/mesh.go
+++ b/test/sidecar/mesh.go
@@ -67,6 +67,8 @@
 	Zones    int // machines are assigned in turn; 0: one
 	// ProxyAddress returns the address to use in place of another; nil: no proxies.
 	ProxyAddress func(link Link, machine int, address string) string
+	// MemoryMB and FileDescriptors are the limits of each machine; 0: none.
+	MemoryMB, FileDescriptors int
 	// Prepare is called for each machine before its process starts; nil: nothing.
 	Prepare func(i int, m *Machine)
 }
@@ -162,6 +164,7 @@
 		"AppAddress":         machine.Server.appAddress,
 		"HeartbeatIntervalS": heartbeatInterval.Seconds(), "Bounds": map[string]any{"DrainS": 2, "GracePeriodS": 6},
 		"ListenAddresses": map[string]any{"Inbound": a.Inbound, "Outbound": a.Outbound, "Ready": a.Ready, "Control": a.Control},
+		"Limits":          map[string]any{"MemoryMb": o.MemoryMB, "FileDescriptors": o.FileDescriptors},
 		"Platform":        map[string]any{"Address": o.ProxyAddress(ToStore, i, m.Store.Serve(name))},
 	})
 	if err != nil {
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -5,6 +5,8 @@
 # An entry of KNOWN-RED.txt begins with a line "PACKAGE: text of the spec"; the
 # indented lines below it say what was seen. An entry that does not match
 # exactly one spec of its package fails the run.
+#
+# Packages that measure the memory of processes run alone, after the others.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 list=KNOWN-RED.txt
@@ -18,6 +20,7 @@
 }
 
 module=$(go list -m)
+alone=$module/test/clients
 listed=$(if [ -n "$entries" ]; then sed "s|:.*||; s|^|$module/|" <<<"$entries" | sort -u; fi)
 for package in $listed; do
   go list "$package" >/dev/null # fails the run when the package does not exist
@@ -26,19 +29,28 @@
 output=$(mktemp -d)
 trap 'rm -r "$output"' EXIT
 
+# skipped prints a regular expression for the listed specs of a package.
+skipped() { grep "^${1#"$module/"}: " <<<"$entries" | pattern; }
+
 # Packages with listed specs run in parallel with the others, as in one go test.
 runs=()
 for package in $listed; do
-  skip=$(grep "^${package#"$module/"}: " <<<"$entries" | pattern)
+  [ "$package" != "$alone" ] || continue
+  skip=$(skipped "$package")
   go test -count=1 "$package" -args -ginkgo.skip="$skip" >"$output/${package//\//-}" 2>&1 &
   runs+=("$!")
 done
-others=$(go list ./... | grep -vxF "${listed:-none}")
+others=$(go list ./... | grep -vxF "${listed:-none}" | grep -vxF "$alone")
 go test -count=1 $others || verdict=1
 for run in "${runs[@]}"; do
   wait "$run" || verdict=1
 done
-[ -z "$listed" ] || cat "$output"/*
+[ ${#runs[@]} -eq 0 ] || cat "$output"/*
+if grep -qxF "$alone" <<<"$listed"; then
+  go test -count=1 "$alone" -args -ginkgo.skip="$(skipped "$alone")" || verdict=1
+else
+  go test -count=1 "$alone" || verdict=1
+fi
 
 while IFS= read -r entry; do
   [ -n "$entry" ] || continue
