Give each ordinary request of the client specs an id of its own

The request is repeated until it is served, and was repeated with the same attempt id. A node refuses an id that it has refused before (1020, fenced), as it must, so that one refusal made the spec fail whatever the node did later. Crowds and bounds are unchanged.

--- a/test/clients/node_test.go
+++ b/test/clients/node_test.go
@@ -47,6 +47,9 @@
 	machine *sidecar.Machine
 	pid     int
 	peakFDs atomic.Int64
+	// requests counts the ordinary requests. Each has its own id, as a client's attempts
+	// have: a node refuses an id that it has refused before.
+	requests atomic.Int64
 }
 
 // startNode starts one process with its server and the store.
@@ -132,7 +135,7 @@
 		return err
 	}
 	r.Host, r.ContentLength = sidecar.Host, length
-	r.Header.Set("Attempt-Id", "ordinary")
+	r.Header.Set("Attempt-Id", fmt.Sprintf("ordinary-%d", n.requests.Add(1)))
 	r.Header.Set("Deadline-Milliseconds", "4000")
 	response, err := client.Do(r)
 	if err != nil {
