--- a/cmd/teasel-sidecar/plugins.go
+++ b/cmd/teasel-sidecar/plugins.go
@@ -12,6 +12,7 @@
 	_ "teaselring/plugins/edgeinbound"
 	_ "teaselring/plugins/edgeoutbound"
 	_ "teaselring/plugins/membershiprows"
+	_ "teaselring/plugins/memorybudget"
 	_ "teaselring/plugins/rolloutrows"
 	_ "teaselring/plugins/storereplica"
 	_ "teaselring/plugins/upstreambeats"
--- a/plugins/edgeinbound/setup.go
+++ b/plugins/edgeinbound/setup.go
@@ -10,6 +10,7 @@
 	"github.com/phuslu/log"
 	"go.uber.org/fx"
 
+	"teaselring/decision/budget"
 	"teaselring/kernel"
 	"teaselring/port"
 	"teaselring/wire"
@@ -20,12 +21,16 @@
 	headerTimeout = 5 * time.Second
 	// idleTimeout exceeds the time for which nodes keep an idle connection.
 	idleTimeout = 30 * time.Second
+	// maxHeaderBytes is far above the limit on clients' heads and the headers that nodes
+	// add to them.
+	maxHeaderBytes = 256 << 10
 )
 
 type edge struct {
 	fx.In
 	PlatformSettings *port.PlatformSettings
 	Routes           []port.InboundRoute `group:"inbound_routes"`
+	Budget           *port.Budget
 	Guard            *kernel.Guard
 	Logger           *log.Logger
 }
@@ -63,9 +68,13 @@
 		return err
 	}
 	e.Logger.Info().Str("edge", "inbound").Str("address", e.PlatformSettings.Inbound.String()).Msg("listening")
-	server := &http.Server{Handler: e.Guard.Handler(e), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	server := &http.Server{
+		Handler: e.Guard.Handler(e), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	door := e.Budget.Door(budget.Inbound)
+	door.Bind(server)
 	go func() {
-		if err := server.Serve(socket); err != nil && err != http.ErrServerClosed {
+		if err := door.Serve(server, socket); err != nil && err != http.ErrServerClosed {
 			e.Logger.Error().Str("edge", "inbound").Err(err).Msg("listener failed")
 		}
 	}()
--- a/plugins/edgeoutbound/client.go
+++ b/plugins/edgeoutbound/client.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"teaselring/decision/budget"
 	"teaselring/port"
 	"teaselring/result"
 )
@@ -29,13 +30,19 @@
 	// connection is closed. Closing it with unread bytes would reset it.
 	lingerTimeout = 500 * time.Millisecond
 	bufferBytes   = 4 << 10
+	// minBodyBuffer is the first buffer of a body.
+	minBodyBuffer = 512
+	// overloadRetryAfter is the Retry-After of a request that exceeds the budget, in
+	// seconds: connections that make no progress are closed after 0.25 s.
+	overloadRetryAfter = "0.5"
 )
 
 // clientConn is a client's connection. A reader starts the calls of requests, a
 // writer sends the responses in order; the queue between them is bounded.
 type clientConn struct {
 	edge        *edge
-	conn        net.Conn
+	conn        *port.BudgetConn
+	reservation *port.Reservation
 	input       *port.LimitedInput
 	reader      *bufio.Reader
 	writer      *bufio.Writer
@@ -53,12 +60,14 @@
 	request    *http.Request
 	response   chan *port.Response // buffered
 	arrived    time.Time
-	closeAfter bool // closes the connection after the response
+	closeAfter bool  // closes the connection after the response
+	overlaps   bool  // a response of maxHeldBytes is reserved
+	reserved   int64 // bytes of the budget that the request and its response hold
 }
 
-func newClientConn(e *edge, conn net.Conn) *clientConn {
+func newClientConn(e *edge, conn *port.BudgetConn) *clientConn {
 	c := &clientConn{
-		edge: e, conn: conn, input: port.NewLimitedInput(conn), queue: make(chan *exchange, maxPipelined),
+		edge: e, conn: conn, reservation: conn.Reservation, input: port.NewLimitedInput(conn), queue: make(chan *exchange, maxPipelined),
 		writer: bufio.NewWriterSize(conn, bufferBytes), allAnswered: make(chan struct{}, 1),
 	}
 	c.reader = bufio.NewReaderSize(c.input, bufferBytes)
@@ -114,24 +123,71 @@
 	limits := c.edge.limits()
 	arrived := time.Now()
 	_ = c.conn.SetReadDeadline(arrived.Add(limits.HeaderTimeout))
-	c.input.Limit(limits.HeaderBytes - c.reader.Buffered())
-	request, err := http.ReadRequest(c.reader)
-	c.input.Unlimit()
+	request, reserved, err := c.readHead(limits.HeaderBytes)
 	if err != nil {
+		c.reservation.Release(reserved)
 		return c.handleReadError(err)
 	}
 	_ = c.conn.SetReadDeadline(time.Time{})
-	x := &exchange{request: request, response: make(chan *port.Response, 1), arrived: arrived, closeAfter: request.Close || !request.ProtoAtLeast(1, 1)}
+	x := &exchange{
+		request: request, response: make(chan *port.Response, 1), arrived: arrived, reserved: reserved,
+		closeAfter: request.Close || !request.ProtoAtLeast(1, 1),
+	}
 	useOriginForm(request)
 	if err := validateRequest(request, limits.BodyBytes); err != nil {
 		return c.refuse(x, err)
 	}
-	if !c.edge.mayOverlap(request) && !c.awaitAllAnswered() {
+	if !(c.edge.mayOverlap(request) && c.reserveOverlap(x)) && !c.awaitAllAnswered() {
+		c.release(x)
 		return false
 	}
 	return c.startCall(x, limits.BodyBytes)
 }
 
+// readHead reads the head of a request, and returns the bytes that it has reserved for
+// it, also with an error. They are reserved before the head is parsed.
+func (c *clientConn) readHead(limit int) (request *http.Request, reserved int64, err error) {
+	charge := func(part []byte) bool {
+		cost := budget.HeadCost(part)
+		if !c.reservation.Reserve(cost) {
+			return false
+		}
+		reserved += cost
+		return true
+	}
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // never fails
+	if end := bytes.Index(buffered, headEnd); end >= 0 {
+		buffered = buffered[:end]
+	}
+	if !charge(buffered) {
+		return nil, reserved, port.ErrBudget
+	}
+	c.input.LimitAndCharge(limit-c.reader.Buffered(), charge)
+	defer c.input.Unlimit()
+	request, err = http.ReadRequest(c.reader)
+	return request, reserved, err
+}
+
+var headEnd = []byte("\r\n\r\n")
+
+// reserveOverlap reserves the largest response that is held for a request whose earlier
+// ones are not answered. Without it the request waits for them, so that a client that
+// does not read can't queue responses beyond the budget.
+func (c *clientConn) reserveOverlap(x *exchange) bool {
+	if c.unanswered.Load() == 0 {
+		return true
+	}
+	if !c.reservation.TryReserve(maxHeldBytes) {
+		return false
+	}
+	x.reserved += maxHeldBytes
+	x.overlaps = true
+	return true
+}
+
+// release returns what a request and its response have held.
+func (c *clientConn) release(x *exchange) { c.reservation.Release(x.reserved) }
+
 // awaitRequest waits for the first byte of a request. The connection is not idle
 // while a response is pending.
 func (c *clientConn) awaitRequest() bool {
@@ -165,6 +221,8 @@
 	status := http.StatusBadRequest
 	var netErr net.Error
 	switch {
+	case errors.Is(err, port.ErrBudget):
+		status = http.StatusServiceUnavailable
 	case errors.Is(err, port.ErrHeadTooLarge):
 		status = http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -173,10 +231,25 @@
 		c.cancel()
 		return false
 	}
-	c.respondAndClose(&exchange{request: &http.Request{Method: http.MethodGet}, response: make(chan *port.Response, 1)}, status)
+	x := &exchange{request: &http.Request{Method: http.MethodGet}, response: make(chan *port.Response, 1)}
+	if status == http.StatusServiceUnavailable {
+		c.refuseOverloaded(x)
+		return false
+	}
+	c.respondAndClose(x, status)
 	return false
 }
 
+// refuseOverloaded refuses a request that exceeds the budget. It has not run.
+func (c *clientConn) refuseOverloaded(x *exchange) {
+	x.closeAfter = true
+	c.enqueue(x)
+	response := &port.Response{Status: http.StatusServiceUnavailable, Header: http.Header{"Retry-After": {overloadRetryAfter}}}
+	response.Buffered = port.WriteRefusal(response.Header, result.AsError(port.ErrOverloaded))
+	response.Length = int64(len(response.Buffered))
+	x.response <- response
+}
+
 // respondAndClose responds to a request that is not forwarded. The connection is
 // closed after the response.
 func (c *clientConn) respondAndClose(x *exchange, status int) {
@@ -190,6 +263,7 @@
 func (c *clientConn) enqueue(x *exchange) {
 	c.unanswered.Add(1)
 	c.edge.inProgress.Add(1)
+	c.reservation.BeginCall()
 	c.queue <- x
 }
 
@@ -228,8 +302,14 @@
 		}
 	}
 	r := &port.Request{Request: x.request, Arrived: x.arrived, Length: x.request.ContentLength}
-	held, err := io.ReadAll(io.LimitReader(x.request.Body, maxHeldBytes))
+	c.reservation.SetInBody(x.request.Body != http.NoBody)
+	held, err := c.holdBody(x)
+	if errors.Is(err, port.ErrBudget) {
+		c.refuseOverloaded(x)
+		return false
+	}
 	if err != nil {
+		c.release(x)
 		c.cancel()
 		return false
 	}
@@ -241,6 +321,7 @@
 	c.edge.requests.Inc(1)
 	c.enqueue(x)
 	if !streamed {
+		c.reservation.SetInBody(false)
 		go c.serve(x, r)
 		return !x.closeAfter
 	}
@@ -250,15 +331,67 @@
 	return false
 }
 
+// holdBody reads a body, or its first maxHeldBytes. Its buffer grows as the body
+// arrives, and is reserved before it grows.
+func (c *clientConn) holdBody(x *exchange) ([]byte, error) {
+	body, limit := x.request.Body, int64(maxHeldBytes)
+	if body == http.NoBody {
+		return nil, nil
+	}
+	if length := x.request.ContentLength; length >= 0 && length < limit {
+		limit = length + 1 // one byte more to reach the end of the body
+	}
+	var held []byte
+	for {
+		if len(held) == cap(held) {
+			size := min(max(2*int64(cap(held)), minBodyBuffer), limit)
+			if !c.reservation.Reserve(size - int64(cap(held))) {
+				return nil, port.ErrBudget
+			}
+			x.reserved += size - int64(cap(held))
+			grown := make([]byte, len(held), size)
+			copy(grown, held)
+			held = grown
+		}
+		n, err := body.Read(held[len(held):cap(held)])
+		held = held[:len(held)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return held, nil
+		case err != nil:
+			return nil, err
+		case len(held) == maxHeldBytes:
+			return held, nil
+		}
+	}
+}
+
 // serve runs a call. The call path answers calls that end with a panic; if it panics
 // itself, the status is 502, since the request may have run.
 func (c *clientConn) serve(x *exchange, r *port.Request) {
 	response := &port.Response{Status: http.StatusBadGateway, Header: http.Header{}}
 	_ = c.edge.Guard.Do("serve a request", func() { response = c.edge.Path(c.ctx, r) })
+	c.reserveResponse(x, response)
 	x.response <- response
 	c.edge.latency.Update(time.Since(x.arrived).Milliseconds())
 }
 
+// reserveResponse reserves the bytes of a response that waits to be sent. When they do not
+// fit, the connection is closed, which says nothing about whether the request has run.
+func (c *clientConn) reserveResponse(x *exchange, response *port.Response) {
+	if x.overlaps {
+		return
+	}
+	size := int64(len(response.Buffered))
+	if !c.reservation.Reserve(size) {
+		response.Buffered = nil
+		c.cancel()
+		_ = c.conn.Close()
+		return
+	}
+	x.reserved += size
+}
+
 // write sends the responses in the order of their requests.
 func (c *clientConn) write() {
 	closed := false
@@ -269,6 +402,8 @@
 			resp := c.awaitResponse(x)
 			closed = resp == nil || !c.guarded("send a response", func() bool { return c.send(x, resp) })
 		}
+		c.release(x)
+		c.reservation.EndCall()
 		c.unanswered.Add(-1)
 		c.edge.inProgress.Add(-1)
 		select {
@@ -336,9 +471,7 @@
 // response are cancelled: the client resends their requests.
 func (c *clientConn) startClosing() {
 	c.cancel()
-	if halfCloser, ok := c.conn.(interface{ CloseWrite() error }); ok {
-		_ = halfCloser.CloseWrite()
-	}
+	_ = c.conn.CloseWrite()
 	c.closing.Store(true)
 	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
 }
--- a/plugins/edgeoutbound/setup.go
+++ b/plugins/edgeoutbound/setup.go
@@ -15,18 +15,14 @@
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/fx"
-	"golang.org/x/net/netutil"
 
+	"teaselring/decision/budget"
 	"teaselring/kernel"
 	"teaselring/mesh"
 	"teaselring/port"
 )
 
 const (
-	// maxConnections leaves half of the file descriptors of the smallest machine
-	// (4,100) to connections to nodes and servers.
-	maxConnections = 2000
-
 	// Limits that apply unless the configuration sets them.
 	defaultHeaderBytes   = 16 << 10
 	defaultBodyBytes     = 64 << 20
@@ -59,6 +55,7 @@
 	PlatformSettings *port.PlatformSettings
 	Path             port.CallPath
 	Calls            port.CallsInProgress
+	Budget           *port.Budget
 	Snapshot         *port.SnapshotCell
 	Grace            *kernel.Grace
 	Guard            *kernel.Guard
@@ -106,7 +103,7 @@
 	}
 	e.socket = socket
 	e.Logger.Info().Str("edge", "outbound").Str("address", e.PlatformSettings.Outbound.String()).Msg("listening")
-	go e.accept(netutil.LimitListener(socket, maxConnections))
+	go e.accept(socket)
 	return nil
 }
 
@@ -126,8 +123,13 @@
 			continue
 		}
 		failures = 0
+		reservation, ok := e.Budget.Door(budget.Outbound).Connect(conn)
+		if !ok {
+			_ = conn.Close()
+			continue
+		}
 		e.connections.Inc(1)
-		go newClientConn(e, conn).run()
+		go newClientConn(e, &port.BudgetConn{Conn: conn, Reservation: reservation}).run()
 	}
 }
 
--- a/port/limited_input.go
+++ b/port/limited_input.go
@@ -19,6 +19,7 @@
 	reader    io.Reader
 	limited   bool
 	remaining int64 // bytes
+	charge    func(part []byte) bool
 }
 
 // NewLimitedInput returns an input without a limit.
@@ -28,8 +29,15 @@
 // buffered reader holds already don't count.
 func (l *LimitedInput) Limit(bytes int) { l.limited, l.remaining = true, int64(max(bytes, 1)) }
 
+// LimitAndCharge is Limit with a function that gets each part of the head before it is
+// parsed. When it reports false, the part is refused with ErrBudget.
+func (l *LimitedInput) LimitAndCharge(bytes int, charge func(part []byte) bool) {
+	l.Limit(bytes)
+	l.charge = charge
+}
+
 // Unlimit removes the limit.
-func (l *LimitedInput) Unlimit() { l.limited = false }
+func (l *LimitedInput) Unlimit() { l.limited, l.charge = false, nil }
 
 // Read implements io.Reader.
 func (l *LimitedInput) Read(p []byte) (int, error) {
@@ -41,5 +49,8 @@
 	}
 	n, err := l.reader.Read(p[:min(int64(len(p)), l.remaining)])
 	l.remaining -= int64(n)
+	if l.charge != nil && n > 0 && !l.charge(p[:n]) {
+		return 0, ErrBudget
+	}
 	return n, err
 }
--- a/result/code.go
+++ b/result/code.go
@@ -107,6 +107,7 @@
 	MessageTooLarge = define(4004, "message_too_large", NotACall, RetryNever, 413, "A message exceeds the size limit.")
 	BadMessage      = define(4005, "bad_message", NotACall, RetryNever, 400, "A message can't be decoded.")
 	BadRequest      = define(4006, "bad_request", NotRun, RetryAfterChange, 400, "A request is malformed.")
+	Overloaded      = define(4007, "overloaded", NotRun, RetrySafe, 503, "The memory budget of the listener is used up; nothing was run.")
 
 	PlatformDown    = define(5001, "platform_down", NotACall, RetrySafe, 503, "The platform does not answer; nothing was written.")
 	PlatformUnknown = define(5002, "platform_unknown", NotACall, RetrySafe, 503, "The platform's answer was lost; the write may have taken effect.")
