Pause the search for a connection to close after one that found none

A search looks at all connections of the listener; many refused clients could make searches cost more than calls.

--- a/plugins/memorybudget/setup.go
+++ b/plugins/memorybudget/setup.go
@@ -58,13 +58,17 @@
 }
 
 func newDuty(b *port.Budget, logger *log.Logger, registry metrics.Registry) kernel.Duty {
+	return kernel.Duty{Name: "budget", Owns: "whether the budget refuses", Run: newState(b, logger, registry).run}
+}
+
+func newState(b *port.Budget, logger *log.Logger, registry metrics.Registry) *duty {
 	d := &duty{budget: b, logger: logger}
 	for i := range d.parts {
 		name := "budget." + budget.Listener(i).String() + "."
 		gauge := func(n string) metrics.Gauge { return metrics.NewRegisteredGauge(name+n, registry) }
 		d.parts[i] = part{connections: gauge("connections"), bytes: gauge("bytes"), refused: gauge("refused"), closed: gauge("closed"), slow: gauge("slow")}
 	}
-	return kernel.Duty{Name: "budget", Owns: "whether the budget refuses", Run: d.run}
+	return d
 }
 
 func (d *duty) run(ctx context.Context) error {
--- a/port/budget.go
+++ b/port/budget.go
@@ -51,12 +51,18 @@
 	mu          sync.Mutex
 	used        int64 // bytes
 	connections map[*Reservation]struct{}
+	// nextSearch is the earliest time of the next search for a connection to close.
+	nextSearch time.Time
 
 	// Refused counts connections and requests that did not fit, Closed the connections
 	// closed in favour of others, Slow those closed for lack of progress.
 	Refused, Closed, Slow atomic.Int64
 }
 
+// searchPause is the time without a search after one that found nothing. A search looks
+// at all connections, which many refused clients could make cost more than calls.
+const searchPause = 10 * time.Millisecond
+
 // Usage returns the open connections and the bytes they hold.
 func (d *BudgetDoor) Usage() (connections int, bytes int64) {
 	d.mu.Lock()
@@ -85,6 +91,9 @@
 // caller holds the lock.
 func (d *BudgetDoor) closeOne(except *Reservation, bytes bool) bool {
 	now := time.Now()
+	if now.Before(d.nextSearch) {
+		return false
+	}
 	var candidates []*Reservation
 	var usages []budget.Usage
 	for r := range d.connections {
@@ -94,6 +103,7 @@
 	}
 	i := budget.Victim(usages, bytes)
 	if i < 0 {
+		d.nextSearch = now.Add(searchPause)
 		return false
 	}
 	d.Closed.Add(1)
