--- a/decision/retry/value_test.go
+++ b/decision/retry/value_test.go
@@ -20,7 +20,7 @@
 	for range 200 * perSecond {
 		now = now.Add(time.Duration(rnd.ExpFloat64() / float64(perSecond) * 1e9))
 		budgets.Call("s", percent, now)
-		code := result.OK
+		var code *result.Code
 		switch n := rnd.IntN(100); {
 		case n < 2:
 			code = result.ConnectionLost
--- a/decision/routing/choose.go
+++ b/decision/routing/choose.go
@@ -57,9 +57,13 @@
 	return !slices.Contains(q.Evacuated, m.Zone) && q.Call.Regions.Allow(m.Region)
 }
 
-// candidates returns the endpoints that may get a new call, by tier.
-func (r *Router) candidates(s *service, v mesh.UpstreamVersion, q *Query, now time.Time) [tierCount][]*endpoint {
-	var byTier [tierCount][]*endpoint
+// candidates returns the endpoints that may get a new call, by tier. The lists are reused
+// by the next choice.
+func (r *Router) candidates(s *service, v mesh.UpstreamVersion, q *Query, now time.Time) *[tierCount][]*endpoint {
+	byTier := &r.byTier
+	for t := range byTier {
+		byTier[t] = byTier[t][:0]
+	}
 	for _, e := range s.endpoints {
 		usable := e.member.Endpoint.Version == v && e.member.Ready() && q.allows(&e.member) &&
 			!e.avoided(now) && !slices.Contains(q.Tried, e.member.Node)
@@ -79,17 +83,18 @@
 func (r *Router) choose(s *service, v mesh.UpstreamVersion, q *Query, rnd Random, now time.Time) (best *endpoint, wait time.Duration) {
 	byTier := r.candidates(s, v, q, now)
 	bound := !q.Call.SoftDeadline.IsZero() && r.servedInZone(s, v, q)
-	if bound {
-		r.dropOutside(&byTier, q, now)
-	}
 	var bestTime estimate
 	for t := range tierCount {
-		if len(byTier[t]) == 0 {
+		list := byTier[t]
+		if bound && t != sameZone {
+			list = r.dropOutside(list, q, now)
+		}
+		if len(list) == 0 {
 			continue
 		}
-		e, x := r.bestOfRandom(byTier[t], firstChoices+moreChoices*len(q.Tried), t, s, q, rnd, now)
+		e, x := r.bestOfRandom(list, firstChoices+moreChoices*len(q.Tried), t, s, q, rnd, now)
 		if bound && t == sameZone && !r.isSufficient(e, x, t, s, q, now) {
-			e, x = r.bestOfRandom(byTier[t], leavingChoices, t, s, q, rnd, now)
+			e, x = r.bestOfRandom(list, leavingChoices, t, s, q, rnd, now)
 			if x.startsTooLate(q, now) {
 				wait = time.Duration(x.wait)
 				continue
--- a/decision/routing/load.go
+++ b/decision/routing/load.go
@@ -40,20 +40,24 @@
 type meanLoad struct {
 	perSlot float64
 	at      time.Time
+	// decayed is the value at decayedAt, kept because a choice needs it for many endpoints.
+	decayed   float64
+	decayedAt time.Time
 }
 
 func (m *meanLoad) record(perSlot float64, now time.Time, p *Params) {
 	weight := min(max(float64(now.Sub(m.at))/float64(p.LoadDecayTime), minMeanWeight), maxMeanWeight)
 	old := m.value(now, p)
 	m.perSlot, m.at = old+weight*(perSlot-old), now
+	m.decayed, m.decayedAt = m.perSlot, now
 }
 
 // value returns the mean, which is forgotten when no endpoint reports.
 func (m *meanLoad) value(now time.Time, p *Params) float64 {
-	if m.perSlot == 0 {
-		return 0
+	if !now.Equal(m.decayedAt) {
+		m.decayed, m.decayedAt = m.perSlot*decay(now.Sub(m.at), p.HistoryDecayTime), now
 	}
-	return m.perSlot * decay(now.Sub(m.at), p.HistoryDecayTime)
+	return m.decayed
 }
 
 // decay returns the weight of a figure by its age.
--- a/decision/routing/replay_test.go
+++ b/decision/routing/replay_test.go
@@ -88,7 +88,6 @@
 type replayServer struct {
 	zone, slots    int
 	speed          float64 // duration of its work relative to that of an average server
-	slowUntil      time.Duration
 	slowPhases     [][2]time.Duration
 	running        int
 	waiting        []*replayCall
--- a/decision/routing/router.go
+++ b/decision/routing/router.go
@@ -119,6 +119,7 @@
 	self      mesh.Member
 	nodes     map[mesh.NodeID]*endpoint
 	byService map[mesh.ServiceID]*service
+	byTier    [tierCount][]*endpoint // of the choice in progress
 }
 
 // service groups the endpoints of one service.
--- a/decision/routing/zone.go
+++ b/decision/routing/zone.go
@@ -42,27 +42,23 @@
 	return false
 }
 
-// dropOutside removes the endpoints outside the zone that a call of this zone must not
-// try: those in a pause after a refusal, those without a free slot as far as known, and
-// all once the call has tried MaxOutside of them. Without it, under overload each call of
-// a zone was sent to all other zones, and these requests were a third of the bytes
-// between zones.
-func (r *Router) dropOutside(byTier *[tierCount][]*endpoint, q *Query, now time.Time) {
+// dropOutside removes the endpoints of a list outside the zone that a call of this zone must
+// not try: those in a pause after a refusal, those without a free slot as far as known, and
+// all once the call has tried MaxOutside. Without it, under overload each call of a zone was
+// sent to all other zones, and these requests were a third of the bytes between zones.
+func (r *Router) dropOutside(list []*endpoint, q *Query, now time.Time) []*endpoint {
 	tried := 0
 	for _, node := range q.Tried {
 		if e := r.nodes[node]; e != nil && r.distance(&e.member) != sameZone {
 			tried++
 		}
 	}
-	for t := sameZone + 1; t < tierCount; t++ {
-		if tried >= r.params.MaxOutside {
-			byTier[t] = nil
-			continue
-		}
-		byTier[t] = slices.DeleteFunc(byTier[t], func(e *endpoint) bool {
-			return now.Before(e.pausedUntil) || e.load(now, &r.params)+1 > e.capacity(now, &r.params)+roomMargin
-		})
+	if tried >= r.params.MaxOutside {
+		return nil
 	}
+	return slices.DeleteFunc(list, func(e *endpoint) bool {
+		return now.Before(e.pausedUntil) || e.load(now, &r.params)+1 > e.capacity(now, &r.params)+roomMargin
+	})
 }
 
 // roomMargin is the excess over the slots up to which an estimated load counts as room. A
