--- a/decision/routing/choose.go
+++ b/decision/routing/choose.go
@@ -42,9 +42,10 @@
 		default:
 			cause = result.NoEndpoint.Errorf("service %q has no usable upstream of version %q (%d tried)", q.Call.Service, preferred, len(q.Tried))
 		}
-		refusal := r.refusal(cause, s, q, wait, rnd, now)
-		refusal.Passed = r.passedOver(s, [2]mesh.UpstreamVersion{preferred, fallback}, q, now)
-		return mesh.Target{}, refusal
+		return mesh.Target{}, &Refusal{
+			cause: cause, RetryAfter: s.returnTime(q.Call, wait, rnd, now),
+			Passed: r.passedOver(s, [2]mesh.UpstreamVersion{preferred, fallback}, q, now),
+		}
 	}
 	target := best.target()
 	target.Spillover = r.distance(&best.member) != sameZone && r.servedInZone(s, best.member.Endpoint.Version, q)
--- a/decision/routing/room.go
+++ b/decision/routing/room.go
@@ -60,16 +60,25 @@
 	return rejectShare*x.wait > max(float64(q.Call.StartBy.Sub(now)), rejectFloor*x.call)
 }
 
-// refusal returns the error of a call without an endpoint. Wait is the expected wait for a
-// slot, 0 when unknown.
-func (r *Router) refusal(cause *result.Error, s *service, q *Query, wait time.Duration, rnd Random, now time.Time) *Refusal {
-	limit := time.Duration(maxRetryAfterShare * float64(q.Call.Deadline.Sub(now)))
-	if q.Call.Deadline.IsZero() || limit <= 0 {
-		return &Refusal{cause: cause}
+// ReturnTime returns the time after which the caller of a call that was refused elsewhere
+// should return; 0: unknown.
+func (r *Router) ReturnTime(call *mesh.Call, rnd Random, now time.Time) time.Duration {
+	if s := r.byService[call.Service]; s != nil {
+		return s.returnTime(call, 0, rnd, now)
+	}
+	return 0
+}
+
+// returnTime books the return of a refused caller. Wait is the expected wait for a slot, 0
+// when unknown.
+func (s *service) returnTime(call *mesh.Call, wait time.Duration, rnd Random, now time.Time) time.Duration {
+	limit := time.Duration(maxRetryAfterShare * float64(call.Deadline.Sub(now)))
+	if call.Deadline.IsZero() || limit <= 0 {
+		return 0
 	}
 	draw := float64(rnd.IntN(1<<20)) / (1 << 20)
 	earliest := time.Duration(returnWaitShare * float64(wait))
-	return &Refusal{cause: cause, RetryAfter: s.returns.book(returnRank(q.Call), earliest, limit, draw, now)}
+	return s.returns.book(returnRank(call), earliest, limit, draw, now)
 }
 
 // returns schedules the callers that this node refused for one service, so that they come
--- a/plugins/callrelay/call.go
+++ b/plugins/callrelay/call.go
@@ -36,8 +36,9 @@
 	startedAt time.Time
 
 	triedNodes  []mesh.NodeID
-	sends       int // attempts that may have reached a server
-	refusals    int // attempts that did not
+	sends       int           // attempts that may have reached a server
+	refusals    int           // attempts that did not
+	returnTime  time.Duration // told with the decision against a retry; 0: none
 	finalError  retry.FinalError
 	lastOutcome mesh.Outcome
 }
@@ -98,6 +99,7 @@
 	c.Logger.Info().Str("request", c.id).Str("route", string(c.route.ID)).Int("sends", c.sends).Int("code", outcome.Code).
 		Bool("retry", err == nil && verdict.Retry).Str("why", verdict.Reason).Msg("retry decided")
 	if err != nil || !verdict.Retry {
+		c.returnTime = verdict.RetryAfter
 		return false
 	}
 	return kernel.Sleep(ctx, verdict.Wait) == nil
@@ -160,10 +162,7 @@
 	if c.id != "" {
 		response.Header.Set(e.Headers.RequestID, c.id)
 	}
-	if after := c.retryAfter(err); after > 0 || response.Status == http.StatusServiceUnavailable {
-		if after <= 0 {
-			after = c.unknownRetryAfter()
-		}
+	if after := c.retryAfter(err, response.Status); after > 0 {
 		response.Header.Set("Retry-After", fmt.Sprintf("%.3f", after.Seconds()))
 	}
 	return response
@@ -183,14 +182,20 @@
 	return http.StatusBadGateway
 }
 
-// retryAfter returns the time after which the error says that the call may be repeated; 0:
-// it says none.
-func (c *call) retryAfter(err error) time.Duration {
+// retryAfter returns the time after which a refused call may be repeated, as the error or
+// the decision against a retry says; 0: the refusal does not say that it has not run.
+func (c *call) retryAfter(err error, status int) time.Duration {
 	var timed interface{ RetryIn() time.Duration }
-	if errors.As(err, &timed) {
+	if errors.As(err, &timed) && timed.RetryIn() > 0 {
 		return timed.RetryIn()
 	}
-	return 0
+	if status != http.StatusServiceUnavailable {
+		return 0
+	}
+	if c.returnTime > 0 {
+		return c.returnTime
+	}
+	return c.unknownRetryAfter()
 }
 
 const (
--- a/plugins/callrelay/relay_test.go
+++ b/plugins/callrelay/relay_test.go
@@ -50,7 +50,8 @@
 // node is an entry node with a scripted router and scripted slots. Its only target
 // is itself; the attempts go to the servers in order.
 type node struct {
-	noTarget      error // of the router when no server is left; nil: result.NoEndpoint
+	returnTime    time.Duration // told with the verdict
+	noTarget      error         // of the router when no server is left; nil: result.NoEndpoint
 	entry         *entry
 	servers       []string // IP:port, one for each attempt to come
 	retry         bool     // verdict of the router on failed attempts
@@ -86,7 +87,7 @@
 		Outcomes: kernel.NewRing[port.OutcomeReport]("outcomes", 64, kernel.ReplaceOldest),
 		Retries: scriptedRing("retries", func(port.RetryRequest) (port.RetryDecision, error) {
 			n.retryRequests.Add(1)
-			return port.RetryDecision{Retry: n.retry}, nil
+			return port.RetryDecision{Retry: n.retry, RetryAfter: n.returnTime}, nil
 		}),
 		Admit: scriptedRing("admit", func(port.Admit) (port.Admission, error) {
 			address := n.servers[0]
@@ -266,6 +267,15 @@
 		Expect(response.Status).To(Equal(503))
 		Expect(response.Header.Get("Retry-After")).To(Equal("0.125"))
 	})
+
+	It("tells the caller the same when a server refused it and it gets no retry", func() {
+		address, _ := server("HTTP/1.1 503 Busy\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		n := newNode(address)
+		n.returnTime = 125 * time.Millisecond
+		response := n.call("GET", "/read/x", "")
+		Expect(response.Status).To(Equal(503))
+		Expect(response.Header.Get("Retry-After")).To(Equal("0.125"))
+	})
 })
 
 var _ = Describe("a call that gets no response", func() {
--- a/plugins/callrouter/router.go
+++ b/plugins/callrouter/router.go
@@ -235,10 +235,14 @@
 		ExpectedLatency: d.router.ExpectedLatency(q.Call.Service), ChargedCaller: limits.chargedCaller, RetryPercent: limits.retryPercent,
 		MaxAttempts: q.MaxAttempts,
 	}, d.budgets, d.rnd.Float64(), now)
+	decision := port.RetryDecision{Retry: verdict.Retry, Wait: verdict.Wait, MarkRetried: verdict.MarkRetried, Reason: string(verdict.Reason)}
 	if verdict.Retry {
 		d.retriesAllowed.Inc(1)
 	} else {
 		d.retriesDenied.Inc(1)
+		if result.ByNumber(q.Outcome.Code).Ran == result.NotRun {
+			decision.RetryAfter = d.router.ReturnTime(&q.Call, d.rnd, now)
+		}
 	}
-	request.Respond(port.RetryDecision{Retry: verdict.Retry, Wait: verdict.Wait, MarkRetried: verdict.MarkRetried, Reason: string(verdict.Reason)})
+	request.Respond(decision)
 }
--- a/port/calls.go
+++ b/port/calls.go
@@ -59,6 +59,9 @@
 	// because this node or one downstream has decided about retries.
 	MarkRetried bool
 	Reason      string // for logs and the debug header
+	// RetryAfter is the time after which the caller should repeat a call that has not run
+	// and gets no retry here; 0: unknown.
+	RetryAfter time.Duration
 }
 
 // RetryRing leads from the callers' edge to the router duty.
