--- a/decision/routing/choose.go
+++ b/decision/routing/choose.go
@@ -18,25 +18,34 @@
 	if s == nil {
 		return mesh.Target{}, result.NoEndpoint.Errorf("service %q has no known upstream", q.Call.Service)
 	}
-	if q.Refusals >= r.params.MaxRefusals {
-		return mesh.Target{}, r.refusal(result.QueueFull.Errorf("%d owner nodes refused the call", q.Refusals), s, q, 0, rnd, now)
-	}
 	preferred, fallback := s.currentVersion, mesh.UpstreamVersion("")
 	if splits != nil {
 		if split, declared := splits.ByService[q.Call.Service]; declared {
 			preferred, fallback = s.versions(split, q)
 		}
 	}
-	best, wait := r.choose(s, preferred, q, rnd, now)
-	if best == nil && fallback != "" {
-		best, wait = r.choose(s, fallback, q, rnd, now)
+	var best *endpoint
+	var wait time.Duration
+	if q.Refusals < r.params.MaxRefusals {
+		best, wait = r.choose(s, preferred, q, rnd, now)
+		if best == nil && fallback != "" {
+			best, wait = r.choose(s, fallback, q, rnd, now)
+		}
 	}
 	if best == nil {
-		cause := result.NoEndpoint.Errorf("service %q has no usable upstream of version %q (%d tried)", q.Call.Service, preferred, len(q.Tried))
-		if wait > 0 {
+		var cause *result.Error
+		switch {
+		case q.Refusals >= r.params.MaxRefusals:
+			cause = result.QueueFull.Errorf("%d owner nodes refused the call", q.Refusals)
+		case wait > 0:
 			cause = result.QueueFull.Errorf("a slot of service %q is expected after %v", q.Call.Service, wait.Round(time.Millisecond))
+		default:
+			cause = result.NoEndpoint.Errorf("service %q has no usable upstream of version %q (%d tried)", q.Call.Service, preferred, len(q.Tried))
+		}
+		return mesh.Target{}, &Refusal{
+			cause: cause, RetryAfter: s.returnTime(q.Call, wait, rnd, now),
+			Passed: r.passedOver(s, [2]mesh.UpstreamVersion{preferred, fallback}, q, now),
 		}
-		return mesh.Target{}, r.refusal(cause, s, q, wait, rnd, now)
 	}
 	target := best.target()
 	target.Spillover = r.distance(&best.member) != sameZone && r.servedInZone(s, best.member.Endpoint.Version, q)
@@ -49,9 +58,13 @@
 	return !slices.Contains(q.Evacuated, m.Zone) && q.Call.Regions.Allow(m.Region)
 }
 
-// candidates returns the endpoints that may get a new call, by tier.
-func (r *Router) candidates(s *service, v mesh.UpstreamVersion, q *Query, now time.Time) [tierCount][]*endpoint {
-	var byTier [tierCount][]*endpoint
+// candidates returns the endpoints that may get a new call, by tier. The lists are reused
+// by the next choice.
+func (r *Router) candidates(s *service, v mesh.UpstreamVersion, q *Query, now time.Time) *[tierCount][]*endpoint {
+	byTier := &r.byTier
+	for t := range byTier {
+		byTier[t] = byTier[t][:0]
+	}
 	for _, e := range s.endpoints {
 		usable := e.member.Endpoint.Version == v && e.member.Ready() && q.allows(&e.member) &&
 			!e.avoided(now) && !slices.Contains(q.Tried, e.member.Node)
@@ -71,17 +84,18 @@
 func (r *Router) choose(s *service, v mesh.UpstreamVersion, q *Query, rnd Random, now time.Time) (best *endpoint, wait time.Duration) {
 	byTier := r.candidates(s, v, q, now)
 	bound := !q.Call.SoftDeadline.IsZero() && r.servedInZone(s, v, q)
-	if bound {
-		r.dropOutside(&byTier, q, now)
-	}
 	var bestTime estimate
 	for t := range tierCount {
-		if len(byTier[t]) == 0 {
+		list := byTier[t]
+		if bound && t != sameZone {
+			list = r.dropOutside(list, q, now)
+		}
+		if len(list) == 0 {
 			continue
 		}
-		e, x := r.bestOfRandom(byTier[t], firstChoices+moreChoices*len(q.Tried), t, s, q, rnd, now)
+		e, x := r.bestOfRandom(list, firstChoices+moreChoices*len(q.Tried), t, s, q, rnd, now)
 		if bound && t == sameZone && !r.isSufficient(e, x, t, s, q, now) {
-			e, x = r.bestOfRandom(byTier[t], leavingChoices, t, s, q, rnd, now)
+			e, x = r.bestOfRandom(list, leavingChoices, t, s, q, rnd, now)
 			if x.startsTooLate(q, now) {
 				wait = time.Duration(x.wait)
 				continue
