Soak: client accounts, evacuations of a zone and cold servers

401 and 403 are now checked on all routes of a call with a valid key or of a configuration without accounts, no longer on those of stable routes only.

--- a/test/sidecar/evacuation_test.go
+++ b/test/sidecar/evacuation_test.go
@@ -45,13 +45,13 @@
 		}
 		h.WaitUntil("the zone to be in use", inUse(true))
 
-		m.Store.Put("op", "evacuate/z0", map[string]any{})
+		m.Store.Put("op", EvacuationKey("z0"), map[string]any{})
 		h.WaitUntil("the zone to be empty", inUse(false))
 		evacuated[0].Restart()
 		h.WaitUntil("the restarted node to be ready", evacuated[0].Ready)
 		Expect(runsInZone()).To(BeZero())
 
-		m.Store.Remove("op", "evacuate/z0")
+		m.Store.Remove("op", EvacuationKey("z0"))
 		h.WaitUntil("the zone to be in use again", inUse(true))
 	})
 })
--- a/test/sidecar/mesh.go
+++ b/test/sidecar/mesh.go
@@ -38,7 +38,11 @@
 	// ColdRate is the number of requests per second that a cold server tolerates, from the
 	// next configuration on; 0: no bound.
 	ColdRate float64
-	requests atomic.Int64
+	// Accounts returns the client accounts of a version of the configuration; nil: it has none.
+	Accounts func(version int) []any
+	// ClientKey is the key that Call sends; "": none.
+	ClientKey string
+	requests  atomic.Int64
 }
 
 // Service is the service of all servers, Host the host of all routes.
@@ -72,6 +76,8 @@
 	ProxyAddress func(link Link, machine int, address string) string
 	// Prepare is called for each machine before its process starts; nil: nothing.
 	Prepare func(i int, m *Machine)
+	// Configure is called before the first configuration is written; nil: nothing.
+	Configure func(m *Mesh)
 }
 
 // NewMesh starts a store with a configuration, and machines in one zone.
@@ -87,6 +93,9 @@
 	}
 	proxyAddresses := map[string]string{} // by row of a node; the address that other nodes get
 	m.Store.Rewrite = func(key string, value []byte) []byte { return rewriteAddress(value, proxyAddresses[key]) }
+	if o.Configure != nil {
+		o.Configure(m)
+	}
 	m.Configure(1, "/read/")
 	for i := range o.Machines {
 		machine := m.prepare(i, &o)
@@ -124,6 +133,9 @@
 	return changed
 }
 
+// EvacuationKey returns the key of the order to evacuate a zone.
+func EvacuationKey(zone string) string { return "evacuate/" + zone }
+
 // Configure writes a configuration with an idempotent route for each prefix, one
 // non-idempotent route and one for uploads.
 func (m *Mesh) Configure(version int, prefixes ...string) {
@@ -137,12 +149,16 @@
 	for i, prefix := range prefixes {
 		routes = append(routes, route(fmt.Sprintf("read-%d", i), prefix, "idempotent"))
 	}
-	m.Store.Put("op", "config", map[string]any{
+	content := map[string]any{
 		"Version":  "r" + strconv.Itoa(version),
 		"Routes":   routes,
 		"Services": []any{map[string]any{"Name": Service, "HealthPath": "/health", "ConnectionLimit": 100, "ColdStartS": 3, "ColdPerS": m.ColdRate}},
 		"Limits":   map[string]any{"HeaderBytes": 16384, "BodyBytes": 1 << 24, "HeaderTimeoutS": 3, "IdleTimeoutS": 15},
-	})
+	}
+	if m.Accounts != nil {
+		content["Tenants"] = m.Accounts(version)
+	}
+	m.Store.Put("op", "config", content)
 }
 
 // OrderKey is the key of the order for a move of the service, and of its status.
@@ -226,6 +242,9 @@
 	r.Host = Host
 	r.Header.Set("Attempt-Id", CallIDPrefix+strconv.FormatInt(m.mesh.requests.Add(1), 16))
 	r.Header.Set("Deadline-Milliseconds", "4000")
+	if m.mesh.ClientKey != "" {
+		r.Header.Set("Key", m.mesh.ClientKey)
+	}
 	response, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return Response{}, err
--- a/test/sidecar/server.go
+++ b/test/sidecar/server.go
@@ -32,11 +32,14 @@
 	lastRunAt        atomic.Int64 // Unix time in ms
 	drainAckedAt     atomic.Int64 // Unix time in ms of the acknowledgement of draining
 	sequence         atomic.Int64
+	coldSince        atomic.Int64 // Unix time in ms
 	coldUntil        atomic.Int64 // Unix time in ms
 	arrivals         []time.Time  // of requests that were not refused as misdirected; guarded by mu
 	stopped          chan struct{}
 	mu               sync.Mutex                   // held while the server is replaced
 	listener         atomic.Pointer[net.Listener] // since the last start
+	// ColdStart is how long the server is cold after a restart. It is set before the first one.
+	ColdStart time.Duration
 	// OnRun is called for each request that runs. It is set before the first request.
 	OnRun func(s *Server, r *http.Request)
 }
@@ -101,6 +104,9 @@
 	_, _ = w.Write(body)
 }
 
+// Zone returns the availability zone of the server.
+func (s *Server) Zone() string { return s.zone }
+
 // ID returns the id of the server, which Replace changes.
 func (s *Server) ID() string { return s.id.Load().(string) }
 
@@ -108,12 +114,34 @@
 func (s *Server) SetState(state string) { s.state.Store(state) }
 
 // SetCold makes the server cold for a while; its next heartbeat says so.
-func (s *Server) SetCold(d time.Duration) { s.coldUntil.Store(time.Now().Add(d).UnixMilli()) }
+func (s *Server) SetCold(d time.Duration) {
+	now := time.Now()
+	s.coldSince.Store(now.UnixMilli())
+	s.coldUntil.Store(now.Add(d).UnixMilli())
+}
 
 func (s *Server) coldRemaining() time.Duration {
 	return max(0, time.Until(time.UnixMilli(s.coldUntil.Load())))
 }
 
+// ColdArrivals returns the number of requests that arrived in the last second while the
+// server was cold; 0 when it is warm.
+func (s *Server) ColdArrivals() (n int) {
+	if s.coldRemaining() == 0 {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	from := time.Now().Add(-time.Second)
+	if since := time.UnixMilli(s.coldSince.Load()); since.After(from) {
+		from = since
+	}
+	for i := len(s.arrivals) - 1; i >= 0 && s.arrivals[i].After(from); i-- {
+		n++
+	}
+	return n
+}
+
 // MostArrivals returns the largest number of requests that arrived in any second from a time
 // on, and the number of all.
 func (s *Server) MostArrivals(from time.Time) (most, total int) {
@@ -168,6 +196,7 @@
 	defer s.mu.Unlock()
 	s.id.Store(id)
 	s.startedAt.Store(time.Now().UnixMilli())
+	s.SetCold(s.ColdStart)
 	s.sequence.Store(0)
 	s.drainAckedAt.Store(0)
 	s.state.Store("ready")
@@ -188,6 +217,7 @@
 		}
 		s.listener.Store(&listener)
 		s.startedAt.Store(time.Now().UnixMilli())
+		s.SetCold(s.ColdStart)
 		s.sequence.Store(0)
 		s.down.Store(false)
 		_ = s.Config.Serve(listener)
--- a/test/soak/caller.go
+++ b/test/soak/caller.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -39,6 +40,7 @@
 	machine      *sidecar.Machine
 	name         string
 	rnd          *rand.Rand
+	keys         *rand.Rand
 	requestCount int
 	conn         net.Conn
 	reader       *bufio.Reader
@@ -76,13 +78,14 @@
 		return
 	}
 	incarnation := c.fleet.incarnation(c.machine)
-	k := &call{machine: c.machine.String(), once: once, path: path, began: time.Now(), timeout: timeout}
+	k := &call{machine: c.machine.String(), once: once, path: path, credentials: c.fleet.drawCredentials(c.keys), began: time.Now(), timeout: timeout}
 	c.fleet.ledger.recordCall(id, k)
 	request := &http.Request{
 		Method: method, URL: sidecar.Target(path), Host: sidecar.Host, Header: http.Header{
 			"Attempt-Id": {id}, "Deadline-Milliseconds": {strconv.FormatInt(timeout.Milliseconds(), 10)}, "Caller-Service": {"forged"},
 		}, Body: io.NopCloser(bytes.NewReader(body)), ContentLength: int64(len(body)),
 	}
+	maps.Copy(request.Header, k.header)
 	_ = c.conn.SetDeadline(k.began.Add(timeout + giveUpAfter))
 	if c.rnd.Float64() < disconnectShare {
 		c.disconnectAfter(k, time.Duration(c.rnd.Int64N(int64(timeout))))
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -67,6 +67,12 @@
 
 func noHeal(*sidecar.Store) {}
 
+var serverCrashed = fault{name: "server crashed", resource: "upstream", inject: func(f *fleet, i int) func(bool) bool {
+	f.mesh.Machines[i].Server.Crash()
+	end := time.Now().Add(addressReuseDelay)
+	return func(bool) bool { return time.Now().After(end) }
+}}
+
 var faults = []fault{
 	{name: "process paused", resource: "process", inject: func(f *fleet, i int) func(bool) bool {
 		f.mesh.Machines[i].Pause()
@@ -84,11 +90,7 @@
 		return healWhenDue(func() {})
 	}},
 	{name: "server replaced", resource: "upstream", planned: true, inject: replaceServer},
-	{name: "server crashed", resource: "upstream", inject: func(f *fleet, i int) func(bool) bool {
-		f.mesh.Machines[i].Server.Crash()
-		end := time.Now().Add(addressReuseDelay)
-		return func(bool) bool { return time.Now().After(end) }
-	}},
+	serverCrashed,
 
 	linkFault("store silent", sidecar.ToStore, func(p *harness.Proxy) { p.Silence(harness.BothDirections...) }),
 	linkFault("nothing reaches the store", sidecar.ToStore, func(p *harness.Proxy) { p.Silence(harness.ToServer) }),
--- a/test/soak/fleet.go
+++ b/test/soak/fleet.go
@@ -25,6 +25,16 @@
 	// bad version must get no requests.
 	rollbackBound        = 5 * time.Second
 	badResponseThreshold = 50
+
+	// A server is cold for coldStart after a restart and then may get coldAllowance requests
+	// in any second: ColdPerS x ColdOverage + ColdSlack of the settings, rounded down.
+	coldStart     = 3 * time.Second
+	coldRate      = 13
+	coldAllowance = 27
+
+	// maxEvacuationInterval is the longest time between evacuations, and for which one
+	// lasts after evacuationBound.
+	maxEvacuationInterval = 8 * time.Second
 )
 
 // fleet is a mesh whose links run through proxies, with callers and a ledger.
@@ -34,10 +44,15 @@
 	ledger        *ledger
 	rnd           *rand.Rand
 	variants      *rand.Rand // of faults; apart from rnd, so that the plans of earlier seeds stay
+	features      *rand.Rand // accounts, evacuations and cold servers; apart for the same reason
+	hasAccounts   bool
+	evacuates     bool
+	hasColdStarts bool
 	proxies       []map[sidecar.Link]*harness.Proxy
 	configVersion atomic.Int64 // latest version written
 	incarnations  map[string]*atomic.Int64
 	replacements  int
+	nextOrder     time.Time // to evacuate a zone or to take it back
 
 	move struct {
 		sync.Mutex
@@ -50,10 +65,26 @@
 func newFleet(h *harness.Harness, seed uint64, machines int) *fleet {
 	f := &fleet{h: h, ledger: newLedger(), rnd: rand.New(rand.NewPCG(seed, 1)), variants: rand.New(rand.NewPCG(seed, 2)), incarnations: map[string]*atomic.Int64{}}
 	f.proxies = make([]map[sidecar.Link]*harness.Proxy, machines)
-	f.mesh = sidecar.NewMeshWithOptions(h, sidecar.Options{Machines: machines, Zones: zones, ProxyAddress: f.startProxy, Prepare: f.prepare})
+	f.features = rand.New(rand.NewPCG(seed, 3))
+	f.hasAccounts, f.evacuates, f.hasColdStarts = f.features.IntN(2) == 0, f.features.IntN(2) == 0, f.features.IntN(2) == 0
+	if f.hasAccounts && drawLimits {
+		f.ledger.limits = drawAccountLimits(f.features)
+	}
+	f.mesh = sidecar.NewMeshWithOptions(h, sidecar.Options{Machines: machines, Zones: zones, ProxyAddress: f.startProxy, Prepare: f.prepare, Configure: f.addFeatures})
 	return f
 }
 
+// addFeatures adds the client accounts and the bound for cold servers to all
+// configurations of a run that has them.
+func (f *fleet) addFeatures(m *sidecar.Mesh) {
+	if f.hasAccounts {
+		m.Accounts, m.ClientKey = f.tenants, accountKey(accountNames[0], 0)
+	}
+	if f.hasColdStarts {
+		m.ColdRate = coldRate
+	}
+}
+
 func (f *fleet) startProxy(link sidecar.Link, machine int, address string) string {
 	if f.proxies[machine] == nil {
 		f.proxies[machine] = map[sidecar.Link]*harness.Proxy{}
@@ -71,9 +102,15 @@
 	if 3*i >= 2*len(f.proxies) {
 		m.Server.SetVersion(newVersion)
 	}
+	if f.hasColdStarts {
+		m.Server.ColdStart = coldStart
+	}
 	m.Server.OnRun = func(s *sidecar.Server, r *http.Request) {
 		f.ledger.recordRun(m.String(), s.DrainAckedAt(), s, r)
 		f.checkExposure(s)
+		if n := s.ColdArrivals(); f.hasColdStarts && n > coldAllowance {
+			f.ledger.addViolation("COLD", "server %s got %d requests in a second while cold", s.ID(), n)
+		}
 	}
 }
 
@@ -91,9 +128,32 @@
 		prefixes = append(prefixes, versionPrefix(kept))
 	}
 	f.mesh.Configure(v, prefixes...)
+	f.ledger.recordVersion()
 	f.configVersion.Store(int64(v))
 }
 
+// evacuateWhenDue evacuates a zone, or takes it back.
+func (f *fleet) evacuateWhenDue() {
+	switch {
+	case !f.evacuates || time.Now().Before(f.nextOrder):
+	case f.ledger.evacuatedZone() != "":
+		f.endEvacuation()
+		f.nextOrder = time.Now().Add(time.Duration(f.features.Int64N(int64(maxEvacuationInterval))))
+	default:
+		zone := fmt.Sprintf("z%d", f.features.IntN(zones))
+		f.mesh.Store.Put("op", sidecar.EvacuationKey(zone), map[string]any{})
+		f.ledger.setEvacuated(zone)
+		f.nextOrder = time.Now().Add(evacuationBound + time.Duration(f.features.Int64N(int64(maxEvacuationInterval))))
+	}
+}
+
+func (f *fleet) endEvacuation() {
+	if zone := f.ledger.evacuatedZone(); zone != "" {
+		f.ledger.setEvacuated("")
+		f.mesh.Store.Remove("op", sidecar.EvacuationKey(zone))
+	}
+}
+
 // orderMove orders a move to the new version, which is bad in half of the cases.
 func (f *fleet) orderMove() {
 	f.move.bad = f.rnd.IntN(2) == 0
@@ -164,7 +224,7 @@
 	var running sync.WaitGroup
 	for i, m := range f.mesh.Machines {
 		for n := range callersPerMachine {
-			c := &caller{fleet: f, machine: m, name: fmt.Sprintf("%s-%d", m.String(), n), rnd: rand.New(rand.NewPCG(f.rnd.Uint64(), uint64(i)))}
+			c := &caller{fleet: f, machine: m, name: fmt.Sprintf("%s-%d", m.String(), n), rnd: rand.New(rand.NewPCG(f.rnd.Uint64(), uint64(i))), keys: rand.New(rand.NewPCG(f.features.Uint64(), uint64(i)))}
 			running.Go(func() { c.run(ctx) })
 		}
 	}
--- a/test/soak/ledger.go
+++ b/test/soak/ledger.go
@@ -21,13 +21,15 @@
 	responseSlack   = 500 * time.Millisecond // a response is due this long after the timeout
 	lossSlack       = 200 * time.Millisecond // a connection may be lost this soon after a request that was not forwarded
 	disconnectSlack = 500 * time.Millisecond // a request reaches no server this long after its caller disconnected
+	evacuationBound = 5 * time.Second        // a zone gets nothing this long after its evacuation was ordered
 )
 
 // call records what a caller sent and received.
 type call struct {
-	machine        string
-	once           bool
-	path           string
+	machine string
+	once    bool
+	path    string
+	credentials
 	began          time.Time
 	sent           time.Time // last byte written; zero: incomplete
 	disconnected   time.Time
@@ -56,6 +58,10 @@
 	calls      map[string]*call
 	runs       map[string][]run
 	faults     map[string][]*faultPeriod // by machine; "" for those of all machines
+	versions   []time.Time               // when each version of the configuration was written
+	limits     map[string]accountLimit   // by account
+	evacuated  string                    // zone; "": none
+	ordered    time.Time                 // when its evacuation was written
 	violations []string
 }
 
@@ -82,6 +88,46 @@
 	change(c)
 }
 
+// recordVersion records that the next version of the configuration has been written.
+func (l *ledger) recordVersion() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.versions = append(l.versions, time.Now())
+}
+
+// versionWritten returns when a version was written, if it was. The caller holds mu.
+func (l *ledger) versionWritten(version int) (time.Time, bool) {
+	if version < 1 || version > len(l.versions) {
+		return time.Time{}, false
+	}
+	return l.versions[version-1], true
+}
+
+// setEvacuated records the zone that is being evacuated; "": none.
+func (l *ledger) setEvacuated(zone string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.evacuated, l.ordered = zone, time.Now()
+}
+
+func (l *ledger) evacuatedZone() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.evacuated
+}
+
+// afterEvacuation returns how long ago the zone of a server was ordered to be evacuated when
+// a request reached it; 0: it was not, or a fault excuses the request. The entry node passes
+// over the zone and the node beside the server refuses, so one of them without a fault is
+// enough. The caller holds mu.
+func (l *ledger) afterEvacuation(machine string, s *sidecar.Server, c *call, now time.Time) time.Duration {
+	entryInTouch := c != nil && c.began.Sub(l.ordered) > evacuationBound && !l.underFault(c.machine, c.began, now)
+	if l.evacuated != s.Zone() || (l.underFault(machine, now, now) && !entryInTouch) {
+		return 0
+	}
+	return now.Sub(l.ordered)
+}
+
 // fault records the start of a fault; the returned function records its end.
 func (l *ledger) fault(machine, name string) (end func()) {
 	s := &faultPeriod{name: name, from: time.Now()}
@@ -137,11 +183,16 @@
 	// The acknowledgement binds a restarted node too, once it is in touch again.
 	inTouch := !l.underFault(machine, now, now) && c != nil && !l.underFault(c.machine, now, now)
 	afterDrain := !ackedAt.IsZero() && now.Sub(ackedAt) > drainBound && (inTouch || !l.underFault(machine, ackedAt, now))
+	sinceOrder := l.afterEvacuation(machine, s, c, now)
 	var sinceDisconnect time.Duration
 	if c != nil && !c.disconnected.IsZero() && !l.anyUnderFault(c.began, now) {
 		sinceDisconnect = now.Sub(c.disconnected)
 	}
 	l.mu.Unlock()
+	l.checkKey(c, id, r.Header)
+	if sinceOrder > evacuationBound {
+		l.addViolation("EVACUATION", "request %s ran on server %s %v after the evacuation of its zone was ordered", id, s.ID(), sinceOrder)
+	}
 	switch {
 	case c == nil:
 		l.addViolation("UNASKED", "server %s ran request %q, which no caller sent", s.ID(), id)
@@ -172,7 +223,7 @@
 func (l *ledger) checkCalls() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	violations := l.violations
+	violations := append(l.violations, l.checkLimits()...)
 	note := func(rule, id string, c *call, format string, args ...any) {
 		violations = append(violations, fmt.Sprintf("%s: request %s at %s, began %s: %s", rule, id, c.machine,
 			c.began.Format("15:04:05.000"), fmt.Sprintf(format, args...)))
@@ -188,7 +239,10 @@
 		if c.mismatch != "" {
 			note("MIXED", id, c, "%s", c.mismatch)
 		}
-		if c.status >= 400 && c.status < 500 && !impliesNotRun(c.status) && (c.once || strings.HasPrefix(c.path, stablePrefix(false))) {
+		if problem := l.checkKeyOfRuns(c, runs); problem != "" {
+			note("KEY", id, c, "%s", problem)
+		}
+		if c.status >= 400 && c.status < 500 && !impliesNotRun(c.status) && !isDenial(c.status) && (c.once || strings.HasPrefix(c.path, stablePrefix(false))) {
 			note("DENIED", id, c, "answered %d", c.status)
 		}
 		faultFree := !l.anyUnderFault(c.began, c.ended)
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -45,6 +45,7 @@
 func Run(h *harness.Harness, seed uint64, machines int, log func(format string, args ...any)) []string {
 	s := &soak{fleet: newFleet(h, seed, machines), log: log}
 	defer s.mesh.Stop()
+	s.log("accounts: %v, evacuations: %v, cold servers: %v", s.hasAccounts, s.evacuates, s.hasColdStarts)
 	for range 3 {
 		s.configure()
 	}
@@ -60,6 +61,7 @@
 		s.runPhase(plannedDuration, true)
 		s.awaitNoFaults()
 	}
+	s.endEvacuation()
 	s.recover()
 	stop()
 	wait()
@@ -70,8 +72,13 @@
 // runPhase starts and ends faults for the given duration, only planned ones if
 // planned is set.
 func (s *soak) runPhase(duration time.Duration, planned bool) {
-	if planned { // wait until the bounds apply again
+	switch {
+	case planned: // wait until the bounds apply again
 		s.waitWithoutFaults(stableWindow)
+	case s.hasColdStarts: // one cold server among warm ones gets few calls
+		for i := range s.mesh.Machines {
+			s.startFault(serverCrashed, i, addressReuseDelay)
+		}
 	}
 	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(tick) {
 		s.step(planned)
@@ -82,11 +89,13 @@
 func (s *soak) waitWithoutFaults(duration time.Duration) {
 	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(tick) {
 		s.configureWhenDue()
+		s.evacuateWhenDue()
 	}
 }
 
 func (s *soak) step(planned bool) {
 	s.configureWhenDue()
+	s.evacuateWhenDue()
 	kept := s.active[:0]
 	for _, a := range s.active {
 		if !a.heal(time.Now().After(a.endsAt)) {
@@ -99,7 +108,9 @@
 	s.active = kept
 	if time.Now().After(s.nextFault) {
 		s.nextFault = time.Now().Add(time.Duration(s.rnd.Int64N(int64(maxFaultInterval))))
-		s.startFault(planned)
+		if chosen, i, duration := s.drawFault(); chosen.planned || !planned {
+			s.startFault(chosen, i, duration)
+		}
 	}
 }
 
@@ -110,19 +121,18 @@
 	}
 }
 
-// startFault selects a fault, a machine and a duration, and starts the fault unless an
-// active one has the same target.
-func (s *soak) startFault(planned bool) {
-	chosen, i := faults[s.rnd.IntN(len(faults))], s.rnd.IntN(len(s.mesh.Machines))
-	duration := maxFaultDuration/10 + time.Duration(s.rnd.Int64N(int64(maxFaultDuration*9/10)))
+func (s *soak) drawFault() (chosen fault, machine int, duration time.Duration) {
+	chosen, machine = faults[s.rnd.IntN(len(faults))], s.rnd.IntN(len(s.mesh.Machines))
+	return chosen, machine, maxFaultDuration/10 + time.Duration(s.rnd.Int64N(int64(maxFaultDuration*9/10)))
+}
+
+// startFault starts a fault unless an active one has the same target.
+func (s *soak) startFault(chosen fault, i int, duration time.Duration) {
 	machine := s.mesh.Machines[i].String()
 	if chosen.resource == "all" {
 		machine = ""
 	}
 	target := machine + "/" + chosen.resource
-	if planned && !chosen.planned {
-		return
-	}
 	for _, a := range s.active {
 		if a.target == target {
 			return
