--- a/plugins/crashspread/learner.go
+++ b/plugins/crashspread/learner.go
@@ -27,8 +27,10 @@
 	// askTimeout bounds the wait for answers: several round trips between regions, and far
 	// less than callers' deadlines. A machine that is gone does not answer at all.
 	askTimeout = 300 * time.Millisecond
-	// viewPollInterval is the poll interval of the view while the node starts.
-	viewPollInterval = 20 * time.Millisecond
+	// viewPollInterval is the poll interval of the view while no attempts start, and
+	// lateViewPollInterval after that: an outage of the store may last for minutes.
+	viewPollInterval     = 20 * time.Millisecond
+	lateViewPollInterval = 500 * time.Millisecond
 	// maxQueryBytes is far above the size of a query with the longest names.
 	maxQueryBytes = 4 << 10
 )
@@ -76,10 +78,10 @@
 		return nil
 	}
 	unknownUntil := time.Now().Add(l.params.Span) // older reports have expired
-	if !l.awaitView(ctx, maxWait) {
+	if !l.awaitView(ctx, maxWait, viewPollInterval) {
 		l.Learned.Store(&port.LearnedCrashes{CompleteAt: unknownUntil})
 		l.Logger.Warn().Msg("attempts start without the other nodes' crash reports, the nodes are not known yet")
-		if !l.awaitView(ctx, l.params.Span) {
+		if !l.awaitView(ctx, l.params.Span, lateViewPollInterval) {
 			return nil
 		}
 	}
@@ -102,13 +104,13 @@
 
 // awaitView waits until the view holds all nodes of the nodes' table. It returns false
 // when the limit has passed before.
-func (l *learner) awaitView(ctx context.Context, limit time.Duration) bool {
+func (l *learner) awaitView(ctx context.Context, limit, interval time.Duration) bool {
 	for end := time.Now().Add(limit); time.Now().Before(end); {
 		set := l.Rows.Load()
 		if set.Listed(port.NodeTable) && port.ViewCoversRows(l.View.Load(), set) {
 			return true
 		}
-		if kernel.Sleep(ctx, viewPollInterval) != nil {
+		if kernel.Sleep(ctx, interval) != nil {
 			return false
 		}
 	}
