--- a/decision/routing/room.go
+++ b/decision/routing/room.go
@@ -43,6 +43,9 @@
 	// returnShare is the part of a node's calls that returning callers may make up. New
 	// calls take the rest of the slots that become free.
 	returnShare = 0.1
+	// promptReturn is the shortest time after which callers return that no lack of room
+	// keeps away; they are spread over as long again. It is a round trip to a client.
+	promptReturn = 20 * time.Millisecond
 	// answerWindow is the time constant of the rate of answered calls.
 	answerWindow = time.Second
 	// maxRetryAfterShare is the part of the time to a call's deadline up to which callers
@@ -60,9 +63,15 @@
 	return rejectShare*x.wait > max(float64(q.Call.StartBy.Sub(now)), rejectFloor*x.call)
 }
 
-// ReturnTime returns the time after which the caller of a call that was refused elsewhere
-// should return; 0: unknown.
-func (r *Router) ReturnTime(call *mesh.Call, rnd Random, now time.Time) time.Duration {
+// ReturnTime returns the time after which the caller of a call whose last attempt was
+// refused should return; 0: unknown.
+//
+// Load pattern: all servers of a service refuse a share of their calls with slots free. A
+// later return is refused as often, and its response comes later.
+func (r *Router) ReturnTime(call *mesh.Call, last *mesh.Outcome, rnd Random, now time.Time) time.Duration {
+	if refusedUnderLoad(last) && !noFreeSlot(last) {
+		return promptReturn + time.Duration(rnd.IntN(int(promptReturn)))
+	}
 	if s := r.byService[call.Service]; s != nil {
 		return s.returnTime(call, 0, rnd, now)
 	}
--- a/decision/routing/room_test.go
+++ b/decision/routing/room_test.go
@@ -109,3 +109,22 @@
 		Expect(told(nil, err, nil)).To(And(BeNumerically(">", 0), BeNumerically("<=", 300*time.Millisecond)))
 	})
 })
+
+// While all servers of a service refused half of their calls with slots free, callers were
+// sent away for up to a third of their time, as if there were no room.
+var _ = Describe("a caller whose call a server refused", func() {
+	returnTime := func(load *mesh.Load) time.Duration {
+		r := nearAndFar()
+		call := &mesh.Call{Service: "s", Deadline: start.Add(6 * time.Second)}
+		last := &mesh.Outcome{Code: result.Shed.Number, Shed: true, Load: load}
+		var sum time.Duration
+		for range 20 {
+			sum += r.ReturnTime(call, last, rand.New(rand.NewPCG(1, 1)), start)
+		}
+		return sum / 20
+	}
+	It("returns at once if the server had free slots, and in turn if it had none", func() {
+		Expect(returnTime(&mesh.Load{InFlight: 1, Limit: 6})).To(BeNumerically("<", 50*time.Millisecond))
+		Expect(returnTime(&mesh.Load{InFlight: 6, Queued: 2, Limit: 6})).To(BeNumerically(">", time.Second))
+	})
+})
--- a/plugins/callrouter/router.go
+++ b/plugins/callrouter/router.go
@@ -241,7 +241,7 @@
 	} else {
 		d.retriesDenied.Inc(1)
 		if result.ByNumber(q.Outcome.Code).Ran == result.NotRun {
-			decision.RetryAfter = d.router.ReturnTime(&q.Call, d.rnd, now)
+			decision.RetryAfter = d.router.ReturnTime(&q.Call, &q.Outcome, d.rnd, now)
 		}
 	}
 	request.Respond(decision)
