Start the calls of servers first within their rank

Cause: all calls that servers make have no account and shared one flow, so that 78 accounts left them a seventy-ninth of the slots.

--- a/decision/configcheck/diff.go
+++ b/decision/configcheck/diff.go
@@ -61,13 +61,18 @@
 func entriesOf(s *mesh.Snapshot) map[string][]field {
 	l := &s.Limits
 	entries := map[string][]field{"limits": {
-		{"header bytes", fmt.Sprint(l.HeaderBytes)}, {"body bytes", fmt.Sprint(l.BodyBytes)},
-		{"header timeout", l.HeaderTimeout.String()}, {"idle timeout", l.IdleTimeout.String()},
+		{"header bytes", fmt.Sprint(l.HeaderBytes)},
+		{"body bytes", fmt.Sprint(l.BodyBytes)},
+		{"header timeout", l.HeaderTimeout.String()},
+		{"idle timeout", l.IdleTimeout.String()},
 	}}
 	for id, v := range s.Services {
 		entries[fmt.Sprintf("service %q", id)] = []field{
-			{"slots", fmt.Sprint(v.Slots)}, {"queue", fmt.Sprint(v.Queue)}, {"health path", v.HealthPath},
-			{"cold duration", v.ColdDuration.String()}, {"cold rate", fmt.Sprint(v.ColdRate)},
+			{"slots", fmt.Sprint(v.Slots)},
+			{"queue", fmt.Sprint(v.Queue)},
+			{"health path", v.HealthPath},
+			{"cold duration", v.ColdDuration.String()},
+			{"cold rate", fmt.Sprint(v.ColdRate)},
 		}
 	}
 	for i := range s.Routes {
@@ -75,8 +80,11 @@
 	}
 	for name, a := range s.Accounts {
 		entries[fmt.Sprintf("account %q", name)] = []field{
-			{"rate", fmt.Sprint(a.Rate)}, {"burst", fmt.Sprint(a.Burst)}, {"priority", priority(a.Priority, a.HasPriority)},
-			{"regions", fmt.Sprint(a.Regions)}, {"keys", s.KeyText(name)},
+			{"rate", fmt.Sprint(a.Rate)},
+			{"burst", fmt.Sprint(a.Burst)},
+			{"priority", priority(a.Priority, a.HasPriority)},
+			{"regions", fmt.Sprint(a.Regions)},
+			{"keys", s.KeyText(name)},
 		}
 	}
 	for id, c := range s.Callers {
@@ -97,10 +105,18 @@
 		service = strings.Join(parts, ", ")
 	}
 	return []field{
-		{"host", r.Host}, {"prefix", r.PathPrefix}, {"methods", strings.Join(r.Methods, ", ")}, {"service", service},
-		{"class", string(r.Class)}, {"timeout", r.Timeout.String()}, {"latency target", r.Target.String()},
-		{"attempts", fmt.Sprint(r.MaxAttempts)}, {"priority", priority(r.Priority, r.HasPriority)},
-		{"anonymous", fmt.Sprint(r.Anonymous)}, {"regions", fmt.Sprint(r.Regions)}, {"understood", fmt.Sprint(!r.Unusable)},
+		{"host", r.Host},
+		{"prefix", r.PathPrefix},
+		{"methods", strings.Join(r.Methods, ", ")},
+		{"service", service},
+		{"class", string(r.Class)},
+		{"timeout", r.Timeout.String()},
+		{"latency target", r.Target.String()},
+		{"attempts", fmt.Sprint(r.MaxAttempts)},
+		{"priority", priority(r.Priority, r.HasPriority)},
+		{"anonymous", fmt.Sprint(r.Anonymous)},
+		{"regions", fmt.Sprint(r.Regions)},
+		{"understood", fmt.Sprint(!r.Unusable)},
 	}
 }
 
--- a/decision/limit/fair.go
+++ b/decision/limit/fair.go
@@ -28,13 +28,18 @@
 }
 
 // flowKey identifies a flow: an account, or all calls without one. Calls with a short
-// target, which servers make for their own requests, are flows of their own, so that they
-// don't wait behind calls that can wait.
+// target are flows of their own, so that they don't wait behind calls that can wait.
 type flowKey struct {
 	account mesh.AccountName
 	short   bool
 }
 
+// ofServers reports whether the flow holds the calls that servers make for their own
+// requests. They are those of all accounts, so that the share of one account is too little
+// for them: one booking in seven failed. They are not charged, and so start first; each
+// belongs to a request that has already been admitted.
+func (k flowKey) ofServers() bool { return k.short && k.account == "" }
+
 type flow struct {
 	key        flowKey
 	waiters    list.List // of *waiter, in order of arrival
@@ -104,15 +109,17 @@
 func (q *fairQueue) start(w *waiter) {
 	f := w.flow
 	q.virtual = max(q.virtual, f.tag)
-	f.tag += w.cost
+	if !f.key.ofServers() {
+		f.tag += w.cost
+	}
 	q.remove(w)
 }
 
 // charge corrects the charge of a call by the difference between its hold time and the
 // expected one.
 func (q *fairQueue) charge(f *flow, difference float64) {
-	if f == nil || q.flows[f.key] != f {
-		return // forgotten since the start
+	if f == nil || q.flows[f.key] != f || f.key.ofServers() {
+		return // forgotten since the start, or never charged
 	}
 	f.tag += difference
 	if f.waiters.Len() > 0 {
@@ -173,6 +180,9 @@
 		}
 	}
 	calls := own
+	if w.flowKey().ofServers() {
+		return calls
+	}
 	if lead := (tag-q.virtual)/w.cost + float64(own); lead >= 0 {
 		calls += others * (int(min(lead, float64(q.waiting))) + 1)
 	}
--- a/decision/limit/wait_test.go
+++ b/decision/limit/wait_test.go
@@ -72,6 +72,16 @@
 		Expect(got["upload"].share()).To(BeNumerically(">", 0.95))
 	})
 
+	// The calls of servers had the share of one account among many: 3,248 requests of 61,481
+	// failed at their servers on a day with 78 accounts, 1,897 of 66,154 before.
+	It("serves the calls of servers before those of many accounts", func() {
+		loads := []load{{rate: 16, hold: hold / 2, target: 250 * time.Millisecond}}
+		for i := range 20 {
+			loads = append(loads, load{account: mesh.AccountName(fmt.Sprint("a", i)), rate: 3, hold: hold, target: time.Second})
+		}
+		Expect(replay(o, time.Second, 61*time.Second, loads...)[""].share()).To(BeNumerically(">", 0.98))
+	})
+
 	// All calls without an account share one flow, except short ones.
 	It("starves neither short calls nor uploads without an account", func() {
 		got := replay(o, time.Second, 61*time.Second,
