--- a/decision/budget/plan.go
+++ b/decision/budget/plan.go
@@ -51,9 +51,10 @@
 	// baseBytes is the memory of a process without clients in a mesh of 1,200 nodes. A
 	// smaller process gets half of its memory for it.
 	baseBytes = 48 << 20
-	// unmanagedBytes is the memory that the runtime does not count, mainly the program
-	// itself, or an eighth of the limit if that is more.
-	unmanagedBytes = 16 << 20
+	// unmanagedBytes is kept for what the runtime does not count, mainly the program
+	// itself, and for what is allocated while it collects garbage, or an eighth of the
+	// limit if that is more.
+	unmanagedBytes = 24 << 20
 	// connectionBytes is the memory of a connection that holds nothing: buffers, the
 	// stacks of its goroutines, and entries in tables.
 	connectionBytes = 16 << 10
