--- a/decision/quota/grantor.go
+++ b/decision/quota/grantor.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"teaselring/mesh"
@@ -37,9 +38,13 @@
 // sender is what is known of a node that asks.
 type sender struct {
 	boot, seq uint64
+	ended     []uint64 // earlier starts, the newest last
 	heard     time.Time
 }
 
+// maxEnded bounds the earlier starts of a node whose late asks are recognised.
+const maxEnded = 8
+
 type grantorShard struct {
 	delegations map[mesh.NodeID]*delegation
 	buckets     map[mesh.AccountName]*bucket
@@ -111,10 +116,17 @@
 // a delegation that has ended.
 func (g *Grantor) accept(now time.Time, ask *Ask, forget time.Duration) bool {
 	s := g.senders[ask.Node]
-	if s != nil && now.Sub(s.heard) <= forget && (ask.Boot < s.boot || (ask.Boot == s.boot && ask.Seq <= s.seq)) {
+	if s == nil || now.Sub(s.heard) > forget {
+		g.senders[ask.Node] = &sender{boot: ask.Boot, seq: ask.Seq, heard: now}
+		return true
+	}
+	if (ask.Boot == s.boot && ask.Seq <= s.seq) || slices.Contains(s.ended, ask.Boot) {
 		return false
 	}
-	g.senders[ask.Node] = &sender{boot: ask.Boot, seq: ask.Seq, heard: now}
+	if ask.Boot != s.boot {
+		s.ended = append(s.ended[max(0, len(s.ended)-maxEnded+1):], s.boot)
+	}
+	s.boot, s.seq, s.heard = ask.Boot, ask.Seq, now
 	return true
 }
 
--- a/decision/quota/holder.go
+++ b/decision/quota/holder.go
@@ -95,7 +95,7 @@
 	due       bool      // report within askGap
 }
 
-// NewHolder returns the state after a start. Boot increases with each start of the node.
+// NewHolder returns the state after a start. Boot differs for each start of the node.
 // FirstStart is set when no node has admitted a request before.
 func NewHolder(settings Settings, self mesh.NodeID, boot uint64, now time.Time, firstStart bool) *Holder {
 	h := &Holder{settings: settings, self: self, boot: boot, linesFrom: now, firstStart: firstStart, peers: map[mesh.NodeID]*peer{}, accounts: map[mesh.AccountName]*account{}}
--- a/decision/quota/quota.go
+++ b/decision/quota/quota.go
@@ -128,7 +128,7 @@
 // Ask is a node's message to a granting node: its delegations and its demand.
 type Ask struct {
 	Node  mesh.NodeID `cbor:"1,keyasint"`
-	Boot  uint64      `cbor:"2,keyasint"` // start of the node, increases
+	Boot  uint64      `cbor:"2,keyasint"` // differs for each start of the node
 	Seq   uint64      `cbor:"3,keyasint"` // increases within Boot
 	Nodes int         `cbor:"4,keyasint"` // number of nodes that the sender knows
 	Echo  Stamp       `cbor:"5,keyasint"`
--- a/plugins/accountlimits/duty.go
+++ b/plugins/accountlimits/duty.go
@@ -64,7 +64,7 @@
 func newLimits(in dutyIn, now time.Time) *duty {
 	s := in.PlatformSettings
 	settings := quota.Settings{Window: s.AccountWindow, Overage: s.AccountOverage, Slack: s.AccountSlack}
-	boot := uint64(now.UnixNano())
+	boot := rand.Uint64()
 	counter := func(name string) metrics.Counter { return metrics.NewRegisteredCounter("accounts."+name, in.Metrics) }
 	return &duty{
 		dutyIn: in, waiting: map[mesh.AccountName][]waitingRequest{},
--- a/plugins/callrelay/accounts.go
+++ b/plugins/callrelay/accounts.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -21,24 +20,6 @@
 // for the limit of their account. Suppressed lines are counted in the next one.
 const maxAccountLinesPerSecond = 10
 
-// accountLog limits the rate of log lines about refused requests of accounts.
-type accountLog struct {
-	second     atomic.Int64 // Unix time
-	written    atomic.Int64 // lines in this second
-	suppressed atomic.Int64 // since the last line
-}
-
-func (l *accountLog) allow(now time.Time) (suppressed int64, ok bool) {
-	if second := now.Unix(); l.second.Swap(second) != second {
-		l.written.Store(0)
-	}
-	if l.written.Add(1) > maxAccountLinesPerSecond {
-		l.suppressed.Add(1)
-		return 0, false
-	}
-	return l.suppressed.Swap(0), true
-}
-
 // identify returns the account of a request, nil for none, and removes the key and the
 // client's own account header. The error is result.Unauthenticated if the route requires
 // a valid key. Without accounts in the configuration the headers are left alone.
--- a/plugins/callrelay/call.go
+++ b/plugins/callrelay/call.go
@@ -220,8 +220,9 @@
 // first attempt. Suppressed lines are counted in the next one.
 const maxSuccessLinesPerSecond = 100
 
-// successLog limits the rate of log lines about successful calls.
-type successLog struct {
+// lineLimit limits the rate of log lines of one kind.
+type lineLimit struct {
+	perSecond  int64
 	second     atomic.Int64 // Unix time
 	written    atomic.Int64 // lines in this second
 	suppressed atomic.Int64 // since the last line
@@ -229,15 +230,15 @@
 
 // allow reports whether a line may be written now, and how many were suppressed
 // since the last one.
-func (s *successLog) allow(now time.Time) (suppressed int64, ok bool) {
-	if second := now.Unix(); s.second.Swap(second) != second {
-		s.written.Store(0)
+func (l *lineLimit) allow(now time.Time) (suppressed int64, ok bool) {
+	if second := now.Unix(); l.second.Swap(second) != second {
+		l.written.Store(0)
 	}
-	if s.written.Add(1) > maxSuccessLinesPerSecond {
-		s.suppressed.Add(1)
+	if l.written.Add(1) > l.perSecond {
+		l.suppressed.Add(1)
 		return 0, false
 	}
-	return s.suppressed.Swap(0), true
+	return l.suppressed.Swap(0), true
 }
 
 // countResult counts a call that ended, refusals by code.
--- a/plugins/callrelay/entry.go
+++ b/plugins/callrelay/entry.go
@@ -25,14 +25,17 @@
 	*relayIn
 	owner     *owner
 	pool      *pool
-	successes successLog
+	successes lineLimit
 	answered  metrics.Counter // calls
 	// accountLines limits the log lines about refused requests of accounts.
-	accountLines accountLog
+	accountLines lineLimit
 }
 
 func newEntry(in *relayIn, o *owner) *entry {
-	return &entry{relayIn: in, owner: o, pool: newPool(), answered: metrics.NewRegisteredCounter("calls.answered", in.Metrics)}
+	return &entry{
+		relayIn: in, owner: o, pool: newPool(), answered: metrics.NewRegisteredCounter("calls.answered", in.Metrics),
+		successes: lineLimit{perSecond: maxSuccessLinesPerSecond}, accountLines: lineLimit{perSecond: maxAccountLinesPerSecond},
+	}
 }
 
 // serve handles one request.
--- a/plugins/callslots/cold_test.go
+++ b/plugins/callslots/cold_test.go
@@ -81,11 +81,11 @@
 	},
 		Entry("since it refused a connection", func() {
 			Expect(n.Releases.Send(context.Background(), port.SlotRelease{Attempt: mesh.AttemptID(fmt.Sprint(calls)), Unreachable: true})).To(Succeed())
-			Eventually(func() int { return n.Load.Load().InFlight }).Should(BeZero())
+			Eventually(n.Load.Load).Should(HaveValue(HaveField("InFlight", 0)))
 		}),
 		Entry("since its connections broke", func() {
 			Expect(n.Releases.Send(context.Background(), port.SlotRelease{Attempt: mesh.AttemptID(fmt.Sprint(calls)), ConnectionLost: true})).To(Succeed())
-			Eventually(func() int { return n.Load.Load().InFlight }).Should(BeZero())
+			Eventually(n.Load.Load).Should(HaveValue(HaveField("InFlight", 0)))
 		}),
 		Entry("during an evacuation of its zone", func() {
 			n.zones.Store(&port.Evacuations{Zones: []mesh.Zone{"z"}})
