--- a/plugins/callrelay/entry.go
+++ b/plugins/callrelay/entry.go
@@ -113,9 +113,28 @@
 	if !c.call.Deadline.After(time.Now()) {
 		return c, result.DeadlineBefore.Err()
 	}
+	e.boundStart(&c.call)
 	return c, nil
 }
 
+// startWhileStoppingShare is the part of the grace after which a stopping node starts no
+// call that it accepted. What has not started by then could only be cut off at the end of
+// the grace, without a response; so it is refused as not run.
+const startWhileStoppingShare = 0.7
+
+// boundStart lets a call that a stopping node accepts start early enough to end within
+// the grace.
+func (e *entry) boundStart(c *mesh.Call) {
+	grace := e.PlatformSettings.Grace
+	if !e.Grace.Stopping() || grace <= 0 {
+		return
+	}
+	left := time.Duration(startWhileStoppingShare*float64(grace)) - e.Grace.StoppingFor()
+	if latest := time.Now().Add(left); latest.Before(c.StartBy) {
+		c.StartBy = latest
+	}
+}
+
 // acceptLocalWhileStopping is the time after the stop began in which calls from the
 // node's own machine are still accepted. The rest of the grace is for calls in progress.
 // Clients may still send calls 3 s after the stop signal, which a busy machine handles late.
