--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -42,6 +42,7 @@
 var regressionSeeds = []TableEntry{
 	Entry("46: a move that started during an outage of the store treated its target as the version in use, and the move to the bad version was completed", uint64(46)),
 	Entry("25: a stopping node forwarded a request that arrived between its last check for calls in progress and its exit", uint64(25)),
+	Entry("28: a node that knew only its own server, of the target, began a move with the target as the version in use, and the move to the bad version was completed", uint64(28)),
 }
 
 var _ = Describe("a fleet under faults violates no rule", func() {
