--- a/plugins/accountlimits/duty.go
+++ b/plugins/accountlimits/duty.go
@@ -132,12 +132,15 @@
 		d.limits = d.lowering.InEffect(time.Now(), configuredLimits(s))
 		d.holder.SetLimits(d.limits)
 	}
-	view, rows := d.View.Load(), d.Rows.Load()
-	complete := rows.Listed(port.NodeTable) && port.ViewCoversRows(view, rows)
-	if view == nil || (view == d.view && (complete == d.complete || d.complete)) {
+	view := d.View.Load()
+	if view == nil || (view == d.view && d.complete) {
 		return
 	}
-	d.view, d.complete = view, complete || d.complete
+	complete := d.complete || port.ViewCoversRows(view, d.Rows.Load())
+	if view == d.view && !complete {
+		return
+	}
+	d.view, d.complete = view, complete
 	var nodes []mesh.NodeID
 	for i := range view.Members {
 		if m := &view.Members[i]; m.State == mesh.NodeAlive {
--- a/plugins/crashspread/learner.go
+++ b/plugins/crashspread/learner.go
@@ -106,8 +106,7 @@
 // when the limit has passed before.
 func (l *learner) awaitView(ctx context.Context, limit, interval time.Duration) bool {
 	for end := time.Now().Add(limit); time.Now().Before(end); {
-		set := l.Rows.Load()
-		if set.Listed(port.NodeTable) && port.ViewCoversRows(l.View.Load(), set) {
+		if port.ViewCoversRows(l.View.Load(), l.Rows.Load()) {
 			return true
 		}
 		if kernel.Sleep(ctx, interval) != nil {
--- a/plugins/rolloutrows/rollouts.go
+++ b/plugins/rolloutrows/rollouts.go
@@ -242,7 +242,7 @@
 func (d *duty) step(ctx context.Context, now time.Time) {
 	orders, clock := d.Orders.Load(), d.Clock.Load()
 	view := d.View.Load()
-	if orders == nil || clock == nil || !d.set.Listed(port.NodeTable) || !port.ViewCoversRows(view, d.set) {
+	if orders == nil || clock == nil || !port.ViewCoversRows(view, d.set) {
 		return
 	}
 	for id, order := range orders.ByService {
--- a/plugins/storereplica/sync.go
+++ b/plugins/storereplica/sync.go
@@ -106,8 +106,7 @@
 // hasNodeView reports whether the nodes' table was listed and the view contains
 // all its nodes.
 func (s *peerSync) hasNodeView() bool {
-	set := s.Rows.Load()
-	return set.Listed(port.NodeTable) && port.ViewCoversRows(s.View.Load(), set)
+	return port.ViewCoversRows(s.View.Load(), s.Rows.Load())
 }
 
 // await handles one hint or one result of a probe or returns after wait, so that the
--- a/port/members.go
+++ b/port/members.go
@@ -31,12 +31,12 @@
 // replaces an older one.
 type LocalRing = kernel.Ring[Local]
 
-// ViewCoversRows reports whether a view includes all node rows of a set. The view of a
-// node that has just started may lag behind the rows. Without this check an order
-// could begin while the version in use is unknown, or a node could take itself for the
-// first of its zone.
+// ViewCoversRows reports whether the nodes' table of a set was listed and a view includes
+// all its rows. The view of a node that has just started may lag behind the rows. Without
+// this check an order could begin while the version in use is unknown, or a node could
+// take itself for the first of its zone.
 func ViewCoversRows(view *mesh.View, rows *replica.Set) bool {
-	return view != nil && view.Revision >= rows.Seen()[NodeTable]
+	return rows.Listed(NodeTable) && view != nil && view.Revision >= rows.Seen()[NodeTable]
 }
 
 // Leaving requests the members duty to announce that the node is leaving. The response
