--- a/test/sidecar/sidecar_test.go
+++ b/test/sidecar/sidecar_test.go
@@ -8,7 +8,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -25,6 +24,17 @@
 
 var _ = AfterSuite(harness.RemoveBinaries)
 
+// servesPath returns a function that fails unless a call of a machine succeeds.
+func servesPath(machine *Machine, path string) func() error {
+	return func() error {
+		a, err := machine.Call(http.MethodGet, path+"x", "")
+		if err == nil && a.Status != http.StatusOK {
+			err = fmt.Errorf("status %d: %s", a.Status, a.Body)
+		}
+		return err
+	}
+}
+
 var _ = Describe("nodes of the platform", func() {
 	var (
 		h *harness.Harness
@@ -36,16 +46,6 @@
 		DeferCleanup(m.Stop)
 	})
 
-	servesPath := func(machine *Machine, path string) func() error {
-		return func() error {
-			a, err := machine.Call(http.MethodGet, path+"x", "")
-			if err == nil && a.Status != http.StatusOK {
-				err = fmt.Errorf("status %d: %s", a.Status, a.Body)
-			}
-			return err
-		}
-	}
-
 	It("serve calls with unchanged bodies", func() {
 		body := strings.Repeat("upload ", 40_000)
 		a, err := m.Machines[0].Call(http.MethodPost, "/once/x", body)
@@ -349,11 +349,6 @@
 		Expect(reached()).To(wanted)
 	})
 
-	It("keep serving after SIGHUP", func() {
-		Expect(syscall.Kill(m.Machines[0].PID(), syscall.SIGHUP)).To(Succeed())
-		Consistently(servesPath(m.Machines[0], "/read/"), "300ms").Should(Succeed())
-	})
-
 	// A write whose response is lost has taken effect. Retrying it must neither loop
 	// nor revert it.
 	It("write their rows once when the store loses its responses", func() {
--- a/test/sidecar/signals_test.go
+++ b/test/sidecar/signals_test.go
@@ -56,3 +56,10 @@
 	}
 	Expect(survived).To(Equal(starts))
 })
+
+var _ = It("nodes of the platform keep serving after SIGHUP", func() {
+	m := NewMesh(harness.New(GinkgoTB()), 3)
+	DeferCleanup(m.Stop)
+	Expect(syscall.Kill(m.Machines[0].PID(), syscall.SIGHUP)).To(Succeed())
+	Consistently(servesPath(m.Machines[0], "/read/"), "300ms").Should(Succeed())
+})
