--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -26,6 +26,7 @@
 type scene func(r *record, program, dir string, trouble bool) (held bool, err error)
 
 var scenes = map[string]scene{
+	"ids":  longIDs,
 	"long": longBodies,
 }
 
