--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -26,8 +26,9 @@
 type scene func(r *record, program, dir string, trouble bool) (held bool, err error)
 
 var scenes = map[string]scene{
-	"ids":  longIDs,
-	"long": longBodies,
+	"ids":     longIDs,
+	"long":    longBodies,
+	"stopped": stoppedBodies,
 }
 
 // usage: standin2 SCENE PROGRAM FOLDER; the exit code is that of run.sh.
