--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -28,6 +28,9 @@
 var scenes = map[string]scene{
 	"ids":     longIDs,
 	"long":    longBodies,
+	"keys":    lastKeys,
+	"paths":   escapedPaths,
+	"ready":   crowdAtReady,
 	"stopped": stoppedBodies,
 }
 
--- a/review/standin2/mesh.go
+++ b/review/standin2/mesh.go
@@ -85,7 +85,7 @@
 func (m *mesh) start(n *node, first bool) error {
 	settings, err := json.Marshal(map[string]any{
 		"NodeName": n.name, "Role": "sidecar", "MachineClass": "sidecar", "Serves": []string{"sidecar"},
-		"Zone": n.zone, "Region": "centroamerica", "Zones": map[string]string{n.zone: "centroamerica"}, "Service": service,
+		"Zone": n.zone, "Region": "centroamerica", "Zones": map[string]string{n.zone: "centroamerica"}, "Service": n.server.service,
 		"AppAddress": n.server.address, "HeartbeatIntervalS": heartbeat.Seconds(), "Bootstrap": first,
 		"ListenAddresses": map[string]string{"Inbound": n.inbound, "Outbound": n.outbound, "Ready": n.ready, "Control": n.control},
 		"SeedNodes":       []string{},
--- a/review/standin2/server.go
+++ b/review/standin2/server.go
@@ -15,11 +15,11 @@
 
 // run is what a server saw of one request that it ran.
 type run struct {
-	server, id, method, path, tenant string
-	body                             int64  // bytes
-	hash                             string // SHA-256 of the body
-	complete                         bool   // the body ended as HTTP says, not with its connection
-	at                               time.Time
+	server, id, method, path, tenant, key string
+	body                                  int64  // bytes
+	hash                                  string // SHA-256 of the body
+	complete                              bool   // the body ended as HTTP says, not with its connection
+	at                                    time.Time
 }
 
 // server is a sound server of the platform: it reads each request to its end, runs it,
@@ -90,7 +90,8 @@
 // run reads the request, runs it and answers with the hash of its body.
 func (s *server) run(w http.ResponseWriter, r *http.Request) {
 	seen := run{
-		server: s.id, id: r.Header.Get("Attempt-Id"), method: r.Method, path: r.URL.RequestURI(), tenant: r.Header.Get("Tenant"), at: time.Now(),
+		server: s.id, id: r.Header.Get("Attempt-Id"), method: r.Method, path: r.URL.RequestURI(), tenant: r.Header.Get("Tenant"),
+		key: r.Header.Get("Key"), at: time.Now(),
 	}
 	digest := sha256.New()
 	var err error
