--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -28,6 +28,7 @@
 var scenes = map[string]scene{
 	"ids":     longIDs,
 	"long":    longBodies,
+	"door":    crowdAtDoor,
 	"keys":    lastKeys,
 	"paths":   escapedPaths,
 	"ready":   crowdAtReady,
--- a/review/standin2/mesh.go
+++ b/review/standin2/mesh.go
@@ -45,6 +45,31 @@
 	return listener.Addr().String()
 }
 
+// metricsPort is that of the deploy file. It is fixed, so each node has an address of its own.
+const metricsPort = 9464
+
+// freeBlock returns the third part of loopback addresses whose metrics ports are all free.
+func freeBlock(count int) (block int, err error) {
+	for try := range 200 {
+		block = (os.Getpid()+try)%200 + 1
+		if err = checkBlock(block, count); err == nil {
+			return block, nil
+		}
+	}
+	return 0, err
+}
+
+func checkBlock(block, count int) error {
+	for i := range count {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.77.%d.%d:%d", block, i+1, metricsPort))
+		if err != nil {
+			return err
+		}
+		_ = listener.Close()
+	}
+	return nil
+}
+
 // newMesh writes the first configuration and starts the nodes and their servers.
 func newMesh(program, dir string, count int, configuration any, prepare func(*server)) (*mesh, error) {
 	m := &mesh{program: program, dir: dir}
@@ -53,9 +78,12 @@
 		return nil, err
 	}
 	m.store.put("op", "config", configuration)
+	block, err := freeBlock(count)
+	if err != nil {
+		return nil, err
+	}
 	for i := range count {
-		// Each node has an address of its own, since the port of the metrics is fixed.
-		ip := fmt.Sprintf("127.77.%d.%d", os.Getpid()%200+1, i+1)
+		ip := fmt.Sprintf("127.77.%d.%d", block, i+1)
 		n := &node{
 			name: fmt.Sprintf("sidecar-cam-a-%d", i+1), zone: "cam-a",
 			inbound: freeAddress(ip), outbound: freeAddress(ip), ready: freeAddress(ip), control: freeAddress(ip),
