Log and count the accounts and keys of the configuration in force

The line "configuration in force" named routes and services only. Change: the line has keys_required, accounts and keys; the gauges config.accounts (-1: no request needs a key) and config.account_keys tell the same.

--- a/mesh/account.go
+++ b/mesh/account.go
@@ -28,17 +28,21 @@
 // the duration of a lookup tells nothing about the keys in force.
 type keyDigest [sha256.Size]byte
 
-// RequireAccounts makes requests need the key of an account, even if there is none.
-func (s *Snapshot) RequireAccounts() {
+// RequireKeys makes requests need the key of an account, even if there is no account.
+func (s *Snapshot) RequireKeys() {
 	if s.Accounts == nil {
 		s.Accounts, s.accountByKey = map[AccountName]*Account{}, map[keyDigest]*Account{}
 	}
 }
 
+// RequiresKeys reports whether requests need the key of an account. Anonymous routes are
+// exempt.
+func (s *Snapshot) RequiresKeys() bool { return s.Accounts != nil }
+
 // AddAccount adds an account that any of the keys identifies. A key that already
 // identifies another account is not added, and AddAccount returns false.
 func (s *Snapshot) AddAccount(a Account, keys []string) bool {
-	s.RequireAccounts()
+	s.RequireKeys()
 	s.Accounts[a.Name] = &a
 	unique := true
 	for _, key := range keys {
@@ -60,6 +64,9 @@
 	return s.accountByKey[keyDigest(sha256.Sum256([]byte(key)))]
 }
 
+// Keys returns the number of keys that identify any account.
+func (s *Snapshot) Keys() int { return len(s.accountByKey) }
+
 // KeyCount returns the number of keys that identify an account.
 func (s *Snapshot) KeyCount(name AccountName) int {
 	n := 0
--- a/mesh/snapshot.go
+++ b/mesh/snapshot.go
@@ -28,7 +28,8 @@
 	Limits EdgeLimits
 	// RetryByService charges retries to the service called instead of the caller.
 	RetryByService bool
-	// Accounts holds the client accounts. With a nil map no request needs a key.
+	// Accounts holds the client accounts; nil: no request needs a key. An empty map lets
+	// in requests of anonymous routes only.
 	Accounts     map[AccountName]*Account
 	accountByKey map[keyDigest]*Account
 	// Warnings names the parts of the configuration that were not understood.
--- a/plugins/callrelay/accounts.go
+++ b/plugins/callrelay/accounts.go
@@ -24,7 +24,7 @@
 // client's own account header. The error is result.Unauthenticated if the route requires
 // a valid key. Without accounts in the configuration the headers are left alone.
 func (e *entry) identify(snapshot *mesh.Snapshot, route *mesh.Route, r *port.Request) (*mesh.Account, error) {
-	if snapshot.Accounts == nil {
+	if !snapshot.RequiresKeys() {
 		return nil, nil
 	}
 	keys := removeHeader(r.Header, e.Headers.AccountKey)
@@ -84,7 +84,7 @@
 // older configuration, without accounts, still forwards the client's headers.
 func (o *owner) setAccountHeader(h http.Header, a *wire.Attempt) {
 	snapshot := o.Snapshot.Load()
-	if a.Call.Account == "" && (snapshot == nil || snapshot.Accounts == nil) {
+	if a.Call.Account == "" && (snapshot == nil || !snapshot.RequiresKeys()) {
 		return
 	}
 	removeHeader(h, o.Headers.AccountKey)
--- a/plugins/callrelay/accounts_test.go
+++ b/plugins/callrelay/accounts_test.go
@@ -92,7 +92,7 @@
 		Expect(n.sendRaw("GET /read/x HTTP/1.1\r\nSecret: k-hotel", "\r\n").Status).To(Equal(200))
 		next := *n.entry.Snapshot.Load()
 		next.Accounts = nil
-		next.RequireAccounts()
+		next.RequireKeys()
 		n.entry.Snapshot.Store(&next)
 		Expect(n.sendRaw("GET /read/x HTTP/1.1\r\nSecret: k-hotel", "\r\n").Status).To(Equal(401))
 	})
--- a/plugins/callrelay/entry.go
+++ b/plugins/callrelay/entry.go
@@ -107,7 +107,7 @@
 		Priority: route.Priority, HasPriority: route.HasPriority, BodyLength: r.Length, Regions: mesh.AllowedRegions{Route: route.Regions}, Fingerprint: fingerprint(r, e.PlatformSettings.Service),
 	}
 	setAccount(&c.call, account)
-	if snapshot.Accounts != nil && account == nil && c.call.HasShortTarget() {
+	if snapshot.RequiresKeys() && account == nil && c.call.HasShortTarget() {
 		raiseForServers(&c.call)
 	}
 	if !c.call.Deadline.After(time.Now()) {
--- a/plugins/configrows/setup.go
+++ b/plugins/configrows/setup.go
@@ -72,6 +72,8 @@
 	processed map[string]uint64 // last revision processed of each row
 	version   metrics.Gauge
 	warnings  metrics.Gauge
+	accounts  metrics.Gauge // -1: no request needs a key
+	keys      metrics.Gauge
 	evacuated metrics.Gauge // zones
 }
 
@@ -80,6 +82,8 @@
 		dutyIn: in, processed: map[string]uint64{},
 		version:   metrics.NewRegisteredGauge("config.version", in.Metrics),
 		warnings:  metrics.NewRegisteredGauge("config.not_understood", in.Metrics),
+		accounts:  metrics.NewRegisteredGauge("config.accounts", in.Metrics),
+		keys:      metrics.NewRegisteredGauge("config.account_keys", in.Metrics),
 		evacuated: metrics.NewRegisteredGauge("config.zones_evacuated", in.Metrics),
 	}
 	return kernel.Duty{
@@ -158,11 +162,22 @@
 	d.Snapshot.Store(s)
 	d.version.Update(int64(s.Version))
 	d.warnings.Update(int64(len(s.Warnings)))
+	d.updateAccounts(s)
 	if len(s.Warnings) > 0 {
 		d.Logger.Warn().Uint64("version", uint64(s.Version)).Strs("parts", s.Warnings).Msg("configuration understood in part")
 	}
 	d.Logger.Info().Uint64("version", uint64(s.Version)).Uint64("revision", r.Revision).
-		Int("routes", len(s.Routes)).Int("services", len(s.Services)).Msg("configuration in force")
+		Int("routes", len(s.Routes)).Int("services", len(s.Services)).
+		Bool("keys_required", s.RequiresKeys()).Int("accounts", len(s.Accounts)).Int("keys", s.Keys()).Msg("configuration in force")
+}
+
+func (d *duty) updateAccounts(s *mesh.Snapshot) {
+	d.keys.Update(int64(s.Keys()))
+	if !s.RequiresKeys() {
+		d.accounts.Update(-1)
+		return
+	}
+	d.accounts.Update(int64(len(s.Accounts)))
 }
 
 func (d *duty) applyOrder(r *replica.Row, o mesh.Order, err error) {
