--- a/plugins/callrelay/accounts_test.go
+++ b/plugins/callrelay/accounts_test.go
@@ -97,6 +97,20 @@
 		Expect(n.sendRaw("GET /read/x HTTP/1.1\r\nSecret: k-hotel", "\r\n").Status).To(Equal(401))
 	})
 
+	// Servers got the keys of clients when the last account was taken away.
+	It("is not sent to a server of an anonymous route when no account is left", func() {
+		address, requests := server(okResponse("1", "ok"))
+		n := newNode(address).withAccounts()
+		next := *n.entry.Snapshot.Load()
+		next.Accounts = nil
+		next.RequireKeys()
+		n.entry.Snapshot.Store(&next)
+		Expect(n.sendRaw("GET /open/x HTTP/1.1\r\nSecret: k-hotel\r\nPayer: bank", "\r\n").Status).To(Equal(200))
+		var sent *http.Request
+		Expect(requests).To(Receive(&sent))
+		Expect(sent.Header).NotTo(Or(HaveKey("Secret"), HaveKey("Payer")))
+	})
+
 	It("is not sent to an owner node, which gets the account and its priority", func() {
 		address, requests := server(okResponse("1", "ok"))
 		n := newNode().withAccounts()
--- a/test/sidecar/accounts_test.go
+++ b/test/sidecar/accounts_test.go
@@ -110,6 +110,31 @@
 		Expect(hotel.Load()).To(BeNumerically(">=", 6))
 	})
 
+	// Guards against an empty list of accounts that is taken for a missing one: every request
+	// was let in, and servers got the keys.
+	DescribeTable("let nobody in after the last one was taken away", func(none []any) {
+		m.configureAccounts(2, account(0, "first"))
+		awaitAccounts()
+		h.WaitUntil("the key of the account", m.Machines[0].answers("/read/x", "first", http.StatusOK))
+		m.configureAccounts(3, none...)
+		check := func(machine *Machine) {
+			h.WaitUntil("version 3 at "+machine.name, machine.answers("/read/x", "first", http.StatusUnauthorized))
+			Expect(machine.statusWith("/read/x", "other")).To(Equal(http.StatusUnauthorized))
+			Expect(machine.statusWith("/read/x", "")).To(Equal(http.StatusUnauthorized))
+			Expect(machine.statusWith("/open/x", "first")).To(Equal(http.StatusOK))
+		}
+		for _, machine := range m.Machines {
+			check(machine)
+		}
+		m.Machines[1].Restart()
+		h.WaitUntil("the restarted node", m.Machines[1].Ready)
+		check(m.Machines[1])
+		Expect(exposed.Load()).To(BeZero())
+	},
+		Entry("with an empty list", []any{}),
+		Entry("with null", nil),
+	)
+
 	// Guards against nodes that each grant the whole limit, and against a limit that ends
 	// with the node that grants it.
 	It("stay within their limit over all nodes, also when one of them is killed", func() {
