Let an empty list of allowed regions allow none

What callers would see: when the last region is taken from the list of a route or an account, its requests run in every region.

--- a/decision/configcheck/check.go
+++ b/decision/configcheck/check.go
@@ -109,6 +109,7 @@
 		c.add(entry, "burst", "%v is less than one request", a.Burst)
 	}
 	c.checkPriority(entry, a.Priority, a.HasPriority)
+	c.checkRegions(entry, a.Regions)
 	if rate, known := c.maxRate(); known && a.Rate > rate {
 		c.add(entry, "rate", "%v requests per second are more than all upstreams can answer within the latency targets (%.0f)", a.Rate, rate)
 	}
@@ -136,6 +137,12 @@
 	return rate, len(c.mesh.Upstreams) > 0
 }
 
+func (c *checker) checkRegions(entry string, list []mesh.Region) {
+	if list != nil && len(list) == 0 {
+		c.add(entry, "regions", "the list of allowed regions is empty; all its requests are refused")
+	}
+}
+
 func (c *checker) checkPriority(entry string, priority int, set bool) {
 	if set && (priority < 0 || priority >= mesh.PriorityLevels) {
 		c.add(entry, "priority", "%d is treated as the nearest of 0 to %d", priority, mesh.PriorityLevels-1)
--- a/decision/configcheck/check_test.go
+++ b/decision/configcheck/check_test.go
@@ -56,6 +56,10 @@
 	Entry("with a target above the timeout", `route "read"`, "latency target", func(s *mesh.Snapshot) { s.Routes[0].Target = 2 * time.Second }),
 	Entry("with more attempts than upstreams", `route "read"`, "attempts", func(s *mesh.Snapshot) { s.Routes[0].MaxAttempts = 3 }),
 	Entry("with a priority below the last level", `route "read"`, "priority", func(s *mesh.Snapshot) { s.Routes[0].Priority, s.Routes[0].HasPriority = 9, true }),
+	Entry("with a route that allows no region", `route "read"`, "regions", func(s *mesh.Snapshot) { s.Routes[0].Regions = []mesh.Region{} }),
+	Entry("with an account that allows no region", `account "bob"`, "regions", func(s *mesh.Snapshot) {
+		s.AddAccount(mesh.Account{Name: "bob", Regions: []mesh.Region{}}, []string{"k"})
+	}),
 	Entry("with a service that no route names", `service "pay"`, "", func(s *mesh.Snapshot) { s.Services["pay"] = mesh.Service{ID: "pay"} }),
 	Entry("with a service without upstreams", `service "pay"`, "", func(s *mesh.Snapshot) {
 		s.Services["pay"] = mesh.Service{ID: "pay"}
@@ -90,6 +94,21 @@
 		}))
 	})
 
+	// An empty list allows no region, a missing one all; both were shown as [].
+	It("shows that a route or account lost its last region, or the bound to regions", func() {
+		bound := func(regions []mesh.Region) *mesh.Snapshot {
+			s := sound()
+			s.Routes[0].Regions, s.Accounts["ana"].Regions = regions, regions
+			return s
+		}
+		Expect(Diff(bound([]mesh.Region{}), bound(nil))).To(Equal([]Change{
+			{Entry: `account "ana"`, Field: "regions", From: "none", To: "all"},
+			{Entry: `route "read"`, Field: "regions", From: "none", To: "all"},
+		}))
+		Expect(Diff(bound([]mesh.Region{"n", "s"}), bound([]mesh.Region{}))).To(ContainElement(
+			Change{Entry: `route "read"`, Field: "regions", From: "n, s", To: "none"}))
+	})
+
 	It("shows that the keys of an account changed", func() {
 		next := sound()
 		next.AddAccount(mesh.Account{Name: "ana", Rate: 10, Burst: 10}, []string{"second-key"})
--- a/decision/configcheck/diff.go
+++ b/decision/configcheck/diff.go
@@ -83,7 +83,7 @@
 			{"rate", fmt.Sprint(a.Rate)},
 			{"burst", fmt.Sprint(a.Burst)},
 			{"priority", priority(a.Priority, a.HasPriority)},
-			{"regions", fmt.Sprint(a.Regions)},
+			{"regions", regions(a.Regions)},
 			{"keys", s.KeyText(name)},
 		}
 	}
@@ -115,11 +115,25 @@
 		{"attempts", fmt.Sprint(r.MaxAttempts)},
 		{"priority", priority(r.Priority, r.HasPriority)},
 		{"anonymous", fmt.Sprint(r.Anonymous)},
-		{"regions", fmt.Sprint(r.Regions)},
+		{"regions", regions(r.Regions)},
 		{"understood", fmt.Sprint(!r.Unusable)},
 	}
 }
 
+func regions(list []mesh.Region) string {
+	switch {
+	case list == nil:
+		return "all"
+	case len(list) == 0:
+		return "none"
+	}
+	names := make([]string, len(list))
+	for i, r := range list {
+		names[i] = string(r)
+	}
+	return strings.Join(names, ", ")
+}
+
 func priority(level int, set bool) string {
 	if !set {
 		return "by class"
--- a/decision/configcheck/routes.go
+++ b/decision/configcheck/routes.go
@@ -18,6 +18,7 @@
 	c.checkMatch(entry, r)
 	c.checkSplit(entry, r)
 	c.checkPriority(entry, r.Priority, r.HasPriority)
+	c.checkRegions(entry, r.Regions)
 	if r.Target > r.Timeout {
 		c.add(entry, "latency target", "%v is longer than the timeout of %v", r.Target, r.Timeout)
 	}
--- a/decision/routing/evacuation_test.go
+++ b/decision/routing/evacuation_test.go
@@ -30,6 +30,7 @@
 	Entry("with the other zone evacuated", Query{Call: &mesh.Call{}, Evacuated: []mesh.Zone{"b"}}, mesh.NodeID("near")),
 	Entry("with both zones evacuated", Query{Call: &mesh.Call{}, Evacuated: []mesh.Zone{"a", "b"}}, mesh.NodeID("")),
 	Entry("with a route for the region", Query{Call: &mesh.Call{Regions: mesh.AllowedRegions{Route: []mesh.Region{"r"}}}}, mesh.NodeID("near")),
+	Entry("with an empty list of regions", Query{Call: &mesh.Call{Regions: mesh.AllowedRegions{Account: []mesh.Region{}}}}, mesh.NodeID("")),
 	Entry("with an account for another region",
 		Query{Call: &mesh.Call{Regions: mesh.AllowedRegions{Route: []mesh.Region{"r"}, Account: []mesh.Region{"q"}}}}, mesh.NodeID("")),
 )
--- a/mesh/account.go
+++ b/mesh/account.go
@@ -20,7 +20,7 @@
 	// highest. It applies only if HasPriority is set.
 	Priority    int
 	HasPriority bool
-	// Regions are the regions whose upstreams may get the account's calls; empty: all.
+	// Regions are the regions whose upstreams may get the account's calls; nil: all.
 	Regions []Region
 }
 
--- a/mesh/snapshot.go
+++ b/mesh/snapshot.go
@@ -79,7 +79,7 @@
 	HasPriority bool
 	// Anonymous routes need no key of an account.
 	Anonymous bool
-	// Regions are the regions whose upstreams may get the route's calls; empty: all.
+	// Regions are the regions whose upstreams may get the route's calls; nil: all.
 	Regions []Region
 	// Unusable is set for a route whose entry in the configuration was not understood.
 	// Its calls are refused; without it they would match a shorter prefix.
