Refuse the requests of a route whose weights are all zero

What callers would see: a route whose parts have a weight of zero, or none, sends all requests to the last service of its list, which has no share (ROUTE). Cause: the last part caught what is left of a rounded sum, and with it a sum of zero. Change: such a route is refused as not run, with a warning; what a rounded sum leaves goes to the last part with a weight. Tests that failed before: platform "the split of a route with no weight" and "with weights of zero", "never selects a service without weight" (3 entries). They pass now.

--- a/decision/configcheck/routes.go
+++ b/decision/configcheck/routes.go
@@ -92,7 +92,7 @@
 		seen = append(seen, part.Service)
 	}
 	if total <= 0 {
-		c.add(entry, "split", "the weights sum to zero; all calls go to the last service")
+		c.add(entry, "split", "the weights sum to zero; all its requests are refused")
 	}
 }
 
--- a/mesh/snapshot.go
+++ b/mesh/snapshot.go
@@ -92,7 +92,8 @@
 	Weight  float64
 }
 
-// ServiceFor selects a service by weight. Draw is a uniform random number in [0, 1).
+// ServiceFor selects a service by weight, and none if all weights are zero. Draw is a
+// uniform random number in [0, 1).
 func (r *Route) ServiceFor(draw float64) ServiceID {
 	if len(r.Split) == 0 {
 		return r.Service
@@ -102,13 +103,18 @@
 		total += part.Weight
 	}
 	point := draw * total
+	var last ServiceID // with a weight; sums of weights are rounded
 	for _, part := range r.Split {
+		if part.Weight <= 0 {
+			continue
+		}
 		if point < part.Weight {
 			return part.Service
 		}
 		point -= part.Weight
+		last = part.Service
 	}
-	return r.Split[len(r.Split)-1].Service
+	return last
 }
 
 // Matches reports whether the route serves the request.
