Show in teaselctl check whether requests need a key

What operators saw: nothing, when a version brought, emptied or removed the list of accounts, which decides whether requests need a key. Change: the difference "accounts: keys required", and a finding for a list without any key; the finding for each route covers accounts without keys too. Tests that failed before: configcheck "shows that requests need a key, or no longer do", "reported ... with a list of accounts that is empty" and "with accounts that have no key". They pass now.

--- a/decision/configcheck/check.go
+++ b/decision/configcheck/check.go
@@ -48,6 +48,9 @@
 	for i := range s.Routes {
 		c.checkRoute(&s.Routes[i])
 	}
+	if s.RequiresKeys() && s.Keys() == 0 {
+		c.add("accounts", "", "requests need the key of an account, and there is no key: only anonymous routes are served")
+	}
 	for _, name := range slices.Sorted(maps.Keys(s.Accounts)) {
 		c.checkAccount(s.Accounts[name])
 	}
--- a/decision/configcheck/check_test.go
+++ b/decision/configcheck/check_test.go
@@ -56,6 +56,14 @@
 	Entry("with a target above the timeout", `route "read"`, "latency target", func(s *mesh.Snapshot) { s.Routes[0].Target = 2 * time.Second }),
 	Entry("with more attempts than upstreams", `route "read"`, "attempts", func(s *mesh.Snapshot) { s.Routes[0].MaxAttempts = 3 }),
 	Entry("with a priority below the last level", `route "read"`, "priority", func(s *mesh.Snapshot) { s.Routes[0].Priority, s.Routes[0].HasPriority = 9, true }),
+	Entry("with a list of accounts that is empty", "accounts", "", func(s *mesh.Snapshot) {
+		s.Accounts = nil
+		s.RequireKeys()
+	}),
+	Entry("with accounts that have no key", "accounts", "", func(s *mesh.Snapshot) {
+		s.Accounts = nil
+		s.AddAccount(mesh.Account{Name: "bob"}, nil)
+	}),
 	Entry("with a route that allows no region", `route "read"`, "regions", func(s *mesh.Snapshot) { s.Routes[0].Regions = []mesh.Region{} }),
 	Entry("with an account that allows no region", `account "bob"`, "regions", func(s *mesh.Snapshot) {
 		s.AddAccount(mesh.Account{Name: "bob", Regions: []mesh.Region{}}, []string{"k"})
@@ -109,6 +117,18 @@
 			Change{Entry: `route "read"`, Field: "regions", From: "n, s", To: "none"}))
 	})
 
+	// The list of accounts, empty or not, decides whether requests need a key; its removal
+	// opens the mesh, and nothing showed that.
+	It("shows that requests need a key, or no longer do", func() {
+		open := sound()
+		open.Accounts = nil
+		closed := sound()
+		closed.Accounts = nil
+		closed.RequireKeys()
+		Expect(Diff(open, closed)).To(Equal([]Change{{Entry: "accounts", Field: "keys required", From: "false", To: "true"}}))
+		Expect(Diff(closed, open)).To(Equal([]Change{{Entry: "accounts", Field: "keys required", From: "true", To: "false"}}))
+	})
+
 	It("shows that the keys of an account changed", func() {
 		next := sound()
 		next.AddAccount(mesh.Account{Name: "ana", Rate: 10, Burst: 10}, []string{"second-key"})
--- a/decision/configcheck/diff.go
+++ b/decision/configcheck/diff.go
@@ -66,6 +66,7 @@
 		{"header timeout", l.HeaderTimeout.String()},
 		{"idle timeout", l.IdleTimeout.String()},
 	}}
+	entries["accounts"] = []field{{"keys required", fmt.Sprint(s.RequiresKeys())}}
 	for id, v := range s.Services {
 		entries[fmt.Sprintf("service %q", id)] = []field{
 			{"slots", fmt.Sprint(v.Slots)},
--- a/decision/configcheck/routes.go
+++ b/decision/configcheck/routes.go
@@ -25,7 +25,7 @@
 	if c.mesh.Upstreams != nil {
 		c.checkAttempts(entry, r)
 	}
-	if c.snapshot.RequiresKeys() && len(c.snapshot.Accounts) == 0 && !r.Anonymous {
+	if c.snapshot.RequiresKeys() && c.snapshot.Keys() == 0 && !r.Anonymous {
 		c.add(entry, "anonymous", "it needs the key of an account, and there is none")
 	}
 }
