Reserve the headers of accounts where the platform has accounts

Cause: whether the header is a key followed from the configuration in force alone, which nodes get at different moments, and not at all without one. Change: where the contracts of the settings have client accounts, the headers of keys and accounts never leave a node, whatever the configuration holds. Elsewhere they stay ordinary headers. Tests that failed before: callrelay "a platform with client accounts, while the configuration in force has none" (2 specs). They pass now.

--- a/plugins/callrelay/accounts.go
+++ b/plugins/callrelay/accounts.go
@@ -22,13 +22,17 @@
 
 // identify returns the account of a request, nil for none, and removes the key and the
 // client's own account header. The error is result.Unauthenticated if the route requires
-// a valid key. Without accounts in the configuration the headers are left alone.
+// a valid key. Without accounts in the configuration the headers are left alone, unless
+// the platform has reserved them.
 func (e *entry) identify(snapshot *mesh.Snapshot, route *mesh.Route, r *port.Request) (*mesh.Account, error) {
-	if !snapshot.RequiresKeys() {
+	if !e.handlesAccounts(snapshot) {
 		return nil, nil
 	}
 	keys := removeHeader(r.Header, e.Headers.AccountKey)
 	removeHeader(r.Header, e.Headers.Account)
+	if !snapshot.RequiresKeys() {
+		return nil, nil
+	}
 	problem := ""
 	var account *mesh.Account
 	switch {
@@ -53,6 +57,12 @@
 	return nil, result.Unauthenticated.Errorf("the key of the request is %s", problem)
 }
 
+// handlesAccounts reports whether the headers of keys and accounts are those of clients'
+// accounts, not ordinary ones. The configuration may be nil.
+func (in *relayIn) handlesAccounts(s *mesh.Snapshot) bool {
+	return in.PlatformSettings.AccountHeadersReserved || (s != nil && s.RequiresKeys())
+}
+
 // setAccount makes a call one of an account; nil: of none.
 func setAccount(c *mesh.Call, account *mesh.Account) {
 	if account == nil {
@@ -83,8 +93,7 @@
 // setAccountHeader tells the server the account of an attempt. An entry node that has an
 // older configuration, without accounts, still forwards the client's headers.
 func (o *owner) setAccountHeader(h http.Header, a *wire.Attempt) {
-	snapshot := o.Snapshot.Load()
-	if a.Call.Account == "" && (snapshot == nil || !snapshot.RequiresKeys()) {
+	if a.Call.Account == "" && !o.handlesAccounts(o.Snapshot.Load()) {
 		return
 	}
 	removeHeader(h, o.Headers.AccountKey)
--- a/plugins/callrelay/accounts_test.go
+++ b/plugins/callrelay/accounts_test.go
@@ -45,6 +45,15 @@
 	return n.entry.serve(context.Background(), &port.Request{Request: r, Buffered: held, Length: int64(len(held)), Arrived: time.Now()})
 }
 
+// attempt sends the node's owner an attempt of another node.
+func (n *node) attempt(h http.Header) {
+	r := httptest.NewRequest("GET", "/read/x", nil)
+	r.Header = h
+	a := wire.Attempt{ID: "1/1", Call: mesh.Call{Service: "s", Deadline: time.Now().Add(time.Second)}}
+	a.Write(r.Header, time.Now())
+	n.entry.owner.ServeHTTP(httptest.NewRecorder(), r)
+}
+
 // Guards against a key that reaches a server, and against an account that a client claims.
 var _ = DescribeTable("a request with accounts in force",
 	func(head, body string, status int, account string) {
@@ -151,17 +160,43 @@
 	It("and a claimed account are removed by an owner node that has accounts when its entry node has none", func() {
 		address, requests := server(okResponse("1", "ok"))
 		n := newNode(address).withAccounts()
-		r := httptest.NewRequest("GET", "/read/x", nil)
-		r.Header = http.Header{"Id": {"1"}, "Secret": {"k-hotel"}, "Payer": {"bank"}}
-		a := wire.Attempt{ID: "1/1", Call: mesh.Call{Service: "s", Deadline: time.Now().Add(time.Second)}}
-		a.Write(r.Header, time.Now())
-		n.entry.owner.ServeHTTP(httptest.NewRecorder(), r)
+		n.attempt(http.Header{"Id": {"1"}, "Secret": {"k-hotel"}, "Payer": {"bank"}})
 		var sent *http.Request
 		Expect(requests).To(Receive(&sent))
 		Expect(sent.Header).NotTo(Or(HaveKey("Secret"), HaveKey("Payer")))
 	})
 })
 
+// Nodes get the first configuration with accounts, and one that has them no longer, at
+// different moments. Servers got the keys that clients sent meanwhile.
+var _ = Describe("a platform with client accounts, while the configuration in force has none", func() {
+	const keyed = "GET /read/x HTTP/1.1\r\nSecret: k-hotel\r\npayer: bank"
+	reserve := func(n *node) *node {
+		n.entry.PlatformSettings.AccountHeadersReserved = true
+		return n
+	}
+	expectNeither := func(requests chan *http.Request) {
+		GinkgoHelper()
+		var sent *http.Request
+		Expect(requests).To(Receive(&sent))
+		Expect(sent.Header).NotTo(Or(HaveKey("Secret"), HaveKey("Payer")))
+	}
+
+	It("removes keys and claimed accounts at the entry node", func() {
+		address, requests := server(okResponse("1", "ok"))
+		Expect(reserve(newNode(address)).sendRaw(keyed, "\r\n").Status).To(Equal(200))
+		expectNeither(requests)
+	})
+
+	It("removes them at the owner node too, also when it has no configuration yet", func() {
+		address, requests := server(okResponse("1", "ok"))
+		n := reserve(newNode(address))
+		n.entry.owner.Snapshot = new(port.SnapshotCell)
+		n.attempt(http.Header{"Id": {"1"}, "Secret": {"k-hotel"}, "Payer": {"bank"}})
+		expectNeither(requests)
+	})
+})
+
 // Guards against charges for calls that did not run, and for each of several attempts.
 var _ = Describe("the limit of an account", func() {
 	const limited = "GET /read/x HTTP/1.1\r\nSecret: k-chain"
--- a/port/deployment.go
+++ b/port/deployment.go
@@ -39,6 +39,9 @@
 	AccountWindow  time.Duration
 	AccountOverage float64
 	AccountSlack   float64
+	// AccountHeadersReserved is set where the platform has client accounts. Upstreams then
+	// get no header of a client's key or account, whatever the configuration in force says.
+	AccountHeadersReserved bool
 
 	// A cold upstream may get ColdOverage times its cold rate and ColdSlack requests in
 	// any second, from all nodes together.
