Update the gauge of credits when the last account is taken away

What operators saw: accounts.credits kept its last value for good after a version without limited accounts. Cause: the duty skipped the update together with the asks. Change: it updates the gauge in every tick. Test that failed before: account.limits "the credits of a node are shown as zero after the last account was taken away". It passes now.

--- a/plugins/accountlimits/accountlimits_test.go
+++ b/plugins/accountlimits/accountlimits_test.go
@@ -102,6 +102,25 @@
 	return admitted
 }
 
+// The gauge kept its last value for good when the last limit ended.
+var _ = Describe("the credits of a node", func() {
+	It("are shown as zero after the last account was taken away", func() {
+		nodes := startNodes(4, mesh.Account{Name: "a", Rate: 200, Burst: 200})
+		n := nodes[0]
+		credits := metrics.GetOrRegisterGauge("accounts.credits", n.in.Metrics)
+		Eventually(func() int64 {
+			_ = n.charge("a")
+			return credits.Value()
+		}, "10s", "10ms").Should(BeNumerically(">", 0))
+		none := &mesh.Snapshot{Version: 2}
+		none.RequireKeys()
+		for _, other := range nodes {
+			other.in.Snapshot.Store(none)
+		}
+		Eventually(credits.Value, "5s").Should(BeZero())
+	})
+})
+
 var _ = Describe("an account over several nodes", func() {
 	It("gets its limit and no more at many times its load", func() {
 		nodes := startNodes(4, mesh.Account{Name: "a", Rate: 20, Burst: 10})
--- a/plugins/accountlimits/duty.go
+++ b/plugins/accountlimits/duty.go
@@ -117,11 +117,10 @@
 
 func (d *duty) tick(ctx context.Context, now time.Time) {
 	d.refresh()
-	if len(d.limits) == 0 && len(d.waiting) == 0 {
-		return
+	if len(d.limits) > 0 || len(d.waiting) > 0 {
+		d.endWaits(now)
+		d.sendAsks(ctx, now)
 	}
-	d.endWaits(now)
-	d.sendAsks(ctx, now)
 	d.credits.Update(int64(d.holder.Credits()))
 }
 
