Test that a response cut at any byte is a failure over both hops

Report of an operator of a similar system: a server stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body that was framed as whole. With real processes (sidecar) every byte of the head is cut in turn.

--- a/plugins/edgeoutbound/edgeoutbound_test.go
+++ b/plugins/edgeoutbound/edgeoutbound_test.go
@@ -288,9 +288,9 @@
 
 var _ = Describe("a truncated response", func() {
 	// The client must not take it for a complete response.
-	It("closes the connection before the declared length", func() {
+	DescribeTable("closes the connection before its end", func(length int64) {
 		conn := connectEdge(mesh.EdgeLimits{}, func(context.Context, *port.Request) *port.Response {
-			return &port.Response{Status: 200, Header: http.Header{}, Buffered: []byte("part"), Remaining: truncatedBody{}, Length: 100}
+			return &port.Response{Status: 200, Header: http.Header{}, Buffered: []byte("part"), Remaining: truncatedBody{}, Length: length}
 		})
 		_, _ = io.WriteString(conn, getRequest("/1"))
 		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
@@ -298,7 +298,10 @@
 			_, err = io.ReadAll(response.Body)
 		}
 		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
-	})
+	},
+		Entry("with a declared length", int64(100)),
+		Entry("in chunks", int64(-1)),
+	)
 })
 
 type truncatedBody struct{}
--- a/test/sidecar/server.go
+++ b/test/sidecar/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"path"
 	"strconv"
 	"strings"
 	"sync"
@@ -92,6 +93,10 @@
 	if s.OnRun != nil {
 		s.OnRun(s, r)
 	}
+	if part, ok := strings.CutPrefix(path.Base(r.URL.Path), cutPrefix); ok {
+		cutResponse(w, r, part)
+		return
+	}
 	failing := s.FailsCurrentRequest()
 	body, _ := io.ReadAll(r.Body)
 	time.Sleep(time.Duration(s.workMS.Load()) * time.Millisecond)
@@ -104,6 +109,29 @@
 	_, _ = w.Write(body)
 }
 
+// cutPrefix begins the last segment of the path of a request whose response ends within
+// its head; the number of bytes sent follows.
+const cutPrefix = "cut-"
+
+// cutHead returns the head of the response to such a request.
+func cutHead(id string) string {
+	return "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nResponse-Signature: s\r\nContent-Length: 3000\r\n\r\n"
+}
+
+func cutResponse(w http.ResponseWriter, r *http.Request, part string) {
+	head := cutHead(r.Header.Get("Attempt-Id"))
+	bytes, err := strconv.Atoi(part)
+	if err != nil {
+		panic(err)
+	}
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	_, _ = io.WriteString(c, head[:min(bytes, len(head))])
+	_ = c.Close()
+}
+
 // Zone returns the availability zone of the server.
 func (s *Server) Zone() string { return s.zone }
 
