Keep the server's length in responses to HEAD

Callers saw Content-Length: 0 in responses to HEAD, whatever the server stated. Cause: the length of a response that is held was set to the bytes held. Change: for HEAD the length is the one that the server stated, or none. Tests that failed before: callrelay "the response to HEAD keeps the server's length over both hops" and "states no length where the server stated none". They pass now.

--- a/plugins/callrelay/cut_test.go
+++ b/plugins/callrelay/cut_test.go
@@ -197,3 +197,23 @@
 	Entry("in chunks, within the size of the last chunk", "chunks", func(m string) int { return len(m) - len("\r\n\r\n") }),
 	Entry("in chunks, before the last byte", "chunks", func(m string) int { return len(m) - 1 }),
 )
+
+// The length that a server states in its response to HEAD is that of the body that GET gets;
+// callers were told 0.
+var _ = Describe("the response to HEAD", func() {
+	It("keeps the server's length over both hops", func() {
+		address, _ := server(okHead+"Content-Length: 300\r\n\r\n", okHead+"Content-Length: 300\r\n\r\n")
+		Expect(newNode(address).call(http.MethodHead, "/read/x", "").Length).To(BeEquivalentTo(300))
+		owner := httptest.NewServer(newNode(address).entry.owner)
+		DeferCleanup(owner.Close)
+		response := newNode().toPeer(owner.Listener.Addr().String()).call(http.MethodHead, "/read/x", "")
+		Expect(response.Status).To(Equal(http.StatusOK))
+		Expect(response.Length).To(BeEquivalentTo(300))
+		Expect(response.Buffered).To(BeEmpty())
+	})
+
+	It("states no length where the server stated none", func() {
+		address, _ := server(okHead + "\r\n" + closeAfter)
+		Expect(newNode(address).call(http.MethodHead, "/read/x", "").Length).To(BeNumerically("<", 0))
+	})
+})
--- a/plugins/callrelay/exchange.go
+++ b/plugins/callrelay/exchange.go
@@ -149,7 +149,9 @@
 		return response, nil
 	}
 	release()
-	response.Length = int64(len(response.Buffered))
+	if x.request.Method != http.MethodHead { // there it is the length of a body that is not sent
+		response.Length = int64(len(response.Buffered))
+	}
 	x.releaseConnection(httpResponse, strays)
 	return response, nil
 }
--- a/plugins/edgeoutbound/edgeoutbound_test.go
+++ b/plugins/edgeoutbound/edgeoutbound_test.go
@@ -304,6 +304,26 @@
 	)
 })
 
+// Callers were told a length of 0 in place of that of the body which GET gets.
+var _ = Describe("a response to HEAD", func() {
+	It("states the length of the body without sending one", func() {
+		conn := connectEdge(mesh.EdgeLimits{}, func(_ context.Context, r *port.Request) *port.Response {
+			if r.URL.Path == "/2" {
+				return textResponse("next")
+			}
+			return &port.Response{Status: 200, Header: http.Header{}, Length: 300}
+		})
+		_, err := io.WriteString(conn, "HEAD /1 HTTP/1.1\r\nHost: h\r\n\r\n"+getRequest("/2"))
+		Expect(err).NotTo(HaveOccurred())
+		reader := bufio.NewReader(conn)
+		response, err := http.ReadResponse(reader, &http.Request{Method: http.MethodHead})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.ContentLength).To(BeEquivalentTo(300))
+		_, body := readResponse(reader)
+		Expect(body).To(Equal("next"))
+	})
+})
+
 type truncatedBody struct{}
 
 func (truncatedBody) Read([]byte) (int, error) { return 0, fmt.Errorf("the connection broke") }
