Keep what the store lost when it comes back from a copy

Callers saw 404 for a configuration that was acknowledged after the store had come back from an older copy, on all nodes, until its counter had passed the old versions. Cause: the order of rows went by the store's version alone, which is given out again in a new era. Change: a revision holds the era (Store-Era) above the version. Answers of an earlier era change nothing, and requests for changes end with their era. A row that the copy lacks, or has in an earlier content, stays current until it is written again, and nodes hand it to each other; so does a deletion. Nodes write their own rows again, spread over nodes / (0.8 x rate); the state of a move is written again by its first evaluator, on condition of the row of the era; an order that the operator writes again is the known one. A node that starts in between takes the newest configuration from the others.

--- a/decision/presence/refresh.go
+++ b/decision/presence/refresh.go
@@ -31,6 +31,20 @@
 	return time.Duration(draw * span * float64(time.Second))
 }
 
+// rewriteShare is the share of the platform's write rate that nodes use together when they
+// write again what the store has lost. Others must know it within two seconds.
+const rewriteShare = 0.8
+
+// RewriteDelay returns how long a node waits before it writes its row again after the
+// store has lost it. rate is the platform's limit in writes per second, draw a uniform
+// random number in [0, 1).
+//
+// Load pattern: the store comes back from a copy without the rows of all nodes, which
+// learn of it in the same moment. 295 nodes write within 1.5 s at 250 writes per second.
+func RewriteDelay(nodes int, rate, draw float64) time.Duration {
+	return time.Duration(draw * float64(nodes) / (rewriteShare * rate) * float64(time.Second))
+}
+
 // firstSpread is the part of a heartbeat over which nodes spread their first rows at the
 // first start of the whole system. The rows are there before nodes list them.
 const firstSpread = 0.5
--- a/decision/rollout/schedule.go
+++ b/decision/rollout/schedule.go
@@ -125,6 +125,44 @@
 	}
 }
 
+// rewriteWait is the time in which nodes that know the end of a move write it again after
+// the store has lost it.
+const rewriteWait = 3 * time.Second
+
+// Answered reports whether a rollout is that of an order, or of a later one. The order may
+// have another revision if this node did not run when the store came back from a copy.
+func Answered(r *mesh.Rollout, o *mesh.Order) bool {
+	return max(r.Order, r.OrderRow) >= o.Revision || (r.New == o.Target && namesVersion(r, o.Revision))
+}
+
+// namesVersion reports whether a rollout names the version of an order's row. The row has
+// the same one in a copy.
+func namesVersion(r *mesh.Rollout, row uint64) bool {
+	version := mesh.VersionOf(row)
+	return version == mesh.VersionOf(r.Order) || version == mesh.VersionOf(r.OrderRow)
+}
+
+// AwaitsRewrite reports whether a node that has found an order at its start must wait
+// before it begins it: other nodes may know that it was carried out before the store lost
+// that.
+//
+// Load pattern: a restart of some nodes right after the store came back from a copy.
+func AwaitsRewrite(o *mesh.Order, clock time.Duration) bool {
+	return o.Found && mesh.EraOf(o.Revision) > firstEra && clock < o.FirstSeen+rewriteWait
+}
+
+// firstEra is the era of a store that has lost nothing yet.
+const firstEra = 1
+
+// RowToRecord returns the row of an order that a rollout does not name yet, 0 for none.
+// Nodes that start later know by it that the order is not a new one.
+func RowToRecord(r *mesh.Rollout, o *mesh.Order) uint64 {
+	if o.Row <= max(r.Order, r.OrderRow) || namesVersion(r, o.Row) {
+		return 0
+	}
+	return o.Row
+}
+
 // VersionInUse returns the version that serves a service when an order for another
 // target begins: the result of the last rollout, or else the version of most servers.
 func VersionInUse(service mesh.ServiceID, target mesh.UpstreamVersion, before *mesh.Rollout, view *mesh.View) mesh.UpstreamVersion {
--- a/plugins/configrows/setup.go
+++ b/plugins/configrows/setup.go
@@ -70,6 +70,7 @@
 type duty struct {
 	dutyIn
 	processed map[string]uint64 // last revision processed of each row
+	read      bool              // the rows that were there at the start are processed
 	version   metrics.Gauge
 	warnings  metrics.Gauge
 	accounts  metrics.Gauge // -1: no request needs a key
@@ -96,7 +97,9 @@
 	return d.Wake.ring.Each(ctx, func(port.RowsChanged) {
 		d.updateEvacuations() // before a configuration lets calls begin
 		before := d.Orders.Load()
-		d.Rows.Load().Each(string(d.Table), d.processRow)
+		rows := d.Rows.Load()
+		rows.Each(string(d.Table), d.processRow)
+		d.read = d.read || rows.Listed(string(d.Table))
 		if d.Orders.Load() != before {
 			_ = d.Changed.Send(ctx, port.OrdersChanged{}) // replaces the oldest, never fails
 		}
@@ -132,9 +135,10 @@
 	return names
 }
 
-// processRow decodes and applies a row of the operator if its revision is new.
+// processRow decodes and applies a row of the operator if its revision is new. It may be a
+// lower one: rows that the store has lost come from other nodes.
 func (d *duty) processRow(r replica.Row) {
-	if r.Revision <= d.processed[r.Key] {
+	if r.Revision == d.processed[r.Key] {
 		return
 	}
 	d.processed[r.Key] = r.Revision
@@ -155,7 +159,9 @@
 	case err != nil:
 		d.Logger.Error().Uint64("revision", r.Revision).Err(err).Msg("configuration refused")
 		return
-	case current != nil && s.Version <= current.Version:
+	case current != nil && s.Version == current.Version:
+		return // written again
+	case current != nil && s.Version < current.Version:
 		d.Logger.Warn().Uint64("version", uint64(s.Version)).Uint64("in_force", uint64(current.Version)).Msg("older configuration ignored")
 		return
 	}
@@ -185,7 +191,7 @@
 		d.Logger.Error().Str("key", r.Key).Err(err).Msg("order refused")
 		return
 	}
-	o.Revision = r.Revision
+	o.Revision, o.Row, o.Found = r.Revision, r.Revision, !d.read
 	if clock := d.Clock.Load(); clock != nil {
 		o.FirstSeen = clock.Now(time.Now())
 	}
@@ -195,6 +201,9 @@
 			next.ByService[id] = other
 		}
 	}
+	if known, ok := next.ByService[o.Service]; ok && known.ContinuedBy(&o) {
+		o.Revision, o.FirstSeen, o.Found = known.Revision, known.FirstSeen, known.Found
+	}
 	next.ByService[o.Service] = o
 	d.Orders.Store(next)
 	d.Logger.Info().Str("service", string(o.Service)).Str("target", string(o.Target)).
--- a/plugins/rolloutrows/duties.go
+++ b/plugins/rolloutrows/duties.go
@@ -89,6 +89,7 @@
 	fx.In
 	Writes   *writes
 	Feed     port.Feed
+	Rows     *port.RowsCell
 	Operator port.OperatorRows
 	Logger   *log.Logger
 }
@@ -130,7 +131,7 @@
 	}
 	r := &state.rollout
 	key := port.RolloutRowPrefix + string(r.Service)
-	_, err = w.Feed.Write(ctx, port.Txn{
+	_, err = port.WriteInEra(ctx, w.Feed, w.Rows.Load(), port.Txn{
 		Checks: []port.Check{{Table: port.NodeTable, Key: key, Revision: state.revision}},
 		Puts: []port.Put{
 			{Table: port.NodeTable, Key: key, Value: value},
--- a/plugins/rolloutrows/rollouts.go
+++ b/plugins/rolloutrows/rollouts.go
@@ -46,6 +46,8 @@
 type service struct {
 	rollout     mesh.Rollout // as in the row
 	revision    uint64       // of the row; 0: there is no row
+	condition   uint64       // revision of the row that the store has; 0: it has none
+	lost        bool         // the store has lost the row
 	own         *rollout.Evidence
 	pooled      *rollout.Evidence
 	badReason   string           // why the new version is bad; final
@@ -101,7 +103,7 @@
 	}
 	for id, order := range orders.ByService {
 		s := d.services[id]
-		if s == nil || s.rollout.Order < order.Revision || s.rollout.Phase == mesh.MoveShifting {
+		if s == nil || !rollout.Answered(&s.rollout, &order) || s.rollout.Phase == mesh.MoveShifting || s.lost || rollout.RowToRecord(&s.rollout, &order) != 0 {
 			return true
 		}
 	}
@@ -122,7 +124,8 @@
 			return
 		}
 		s := d.service(mesh.ServiceID(name))
-		if r.Revision <= s.revision {
+		s.condition, s.lost = r.Condition(), r.Lost
+		if r.Revision == s.revision {
 			return
 		}
 		s.revision = r.Revision
@@ -132,7 +135,7 @@
 			return
 		}
 		if row.Order != s.rollout.Order {
-			*s = service{revision: r.Revision, own: rollout.NewEvidence(), pooled: rollout.NewEvidence()}
+			*s = service{revision: r.Revision, condition: s.condition, lost: s.lost, own: rollout.NewEvidence(), pooled: rollout.NewEvidence()}
 		}
 		s.rollout = row
 		d.Logger.Info().Str("service", name).Str("old", string(row.Old)).Str("new", string(row.New)).
@@ -248,7 +251,10 @@
 	for id, order := range orders.ByService {
 		s := d.service(id)
 		switch {
-		case s.rollout.Order < order.Revision:
+		case !rollout.Answered(&s.rollout, &order):
+			if rollout.AwaitsRewrite(&order, clock.Now(now)) {
+				continue
+			}
 			var before *mesh.Rollout
 			if s.rollout.Order != 0 { // the row may be unreadable
 				before = &s.rollout
@@ -269,6 +275,12 @@
 				next.Phase, next.Reason = mesh.MoveTakenBack, s.avoidReason
 			}
 			d.write(ctx, id, s, next, now)
+		case s.lost, rollout.RowToRecord(&s.rollout, &order) != 0:
+			next := s.rollout
+			if row := rollout.RowToRecord(&next, &order); row != 0 {
+				next.OrderRow = row
+			}
+			d.write(ctx, id, s, next, now)
 		default:
 			s.writeDue = time.Time{}
 		}
@@ -296,7 +308,7 @@
 		return
 	}
 	s.writeDue = now.Add(writeRetryDelay)
-	_ = d.Writes.Send(ctx, write{rollout: next, revision: s.revision})
+	_ = d.Writes.Send(ctx, write{rollout: next, revision: s.condition})
 }
 
 func (d *duty) allowance() rollout.Allowance {
--- a/plugins/storereplica/replica.go
+++ b/plugins/storereplica/replica.go
@@ -7,6 +7,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/fx"
 
+	"teaselring/decision/replica"
 	"teaselring/kernel"
 	"teaselring/port"
 	"teaselring/result"
@@ -27,10 +28,17 @@
 type replicaDuty struct {
 	replicaIn
 	applied metrics.Counter
+	// era is that of the store, changes how often it has risen since the node's start. Lost
+	// is the number of rows that the store has lost and not got again.
+	era, changes, lost metrics.Gauge
 }
 
 func newReplica(in replicaIn) kernel.Duty {
-	o := &replicaDuty{replicaIn: in, applied: metrics.NewRegisteredCounter("replica.batches", in.Metrics)}
+	o := &replicaDuty{
+		replicaIn: in, applied: metrics.NewRegisteredCounter("replica.batches", in.Metrics),
+		era: metrics.NewRegisteredGauge("replica.era", in.Metrics), changes: metrics.NewRegisteredGauge("replica.era_changes", in.Metrics),
+		lost: metrics.NewRegisteredGauge("replica.rows_lost", in.Metrics),
+	}
 	out := make([]string, len(in.Subscribers))
 	for i, s := range in.Subscribers {
 		out[i] = s.Ring.Info().Name
@@ -67,6 +75,7 @@
 		return
 	}
 	o.Cell.Store(next)
+	o.recordEra(before, next, b)
 	o.Logger.Debug().Str("table", b.table).Str("source", b.source).Int("rows", len(b.changes.Rows)).
 		Uint64("revision", b.changes.Revision).Msg("rows changed")
 	o.Source.changed.fire()
@@ -75,6 +84,18 @@
 	}
 }
 
+// recordEra logs and counts a new era of the store.
+func (o *replicaDuty) recordEra(before, next *replica.Set, b *batch) {
+	o.era.Update(int64(next.Era()))
+	o.changes.Update(int64(next.EraChanges()))
+	lost := next.LostCount()
+	o.lost.Update(int64(lost))
+	if next.EraChanges() > before.EraChanges() {
+		o.Logger.Warn().Uint64("era", next.Era()).Uint64("before", before.Era()).Str("source", b.source).Int("rows_lost", lost).
+			Msg("the store came back from a copy")
+	}
+}
+
 func checkListed(rows *port.RowsCell, operator port.OperatorTable) error {
 	set := rows.Load()
 	if !set.Listed(string(operator)) || !set.Listed(port.NodeTable) {
--- a/plugins/upstreambeats/announce.go
+++ b/plugins/upstreambeats/announce.go
@@ -54,11 +54,18 @@
 	// unacknowledged holds the announcements of a leaving server until the row says so.
 	unacknowledged []announceRequest
 	written        mesh.Endpoint // in the row that was written last
+	compared       storedRow     // with the node's state, in an era that began since the start
 	client         *http.Client
 	heard          hearing
 	healthChecks   int
 }
 
+// storedRow identifies what the store has of the node's row after a change of its era.
+type storedRow struct {
+	eraChanges int
+	revision   uint64 // 0: it has none
+}
+
 func newTracker(in trackerIn) kernel.Duty {
 	t := &tracker{
 		trackerIn: in,
@@ -185,6 +192,28 @@
 		t.apply(ctx, n)
 	}
 	t.acknowledge()
+	t.rewriteLost(ctx)
+}
+
+// rewriteLost writes the node's row again if the store has come back from a copy without
+// it, or with an older one.
+func (t *tracker) rewriteLost(ctx context.Context) {
+	rows := t.Rows.Load()
+	if rows.EraChanges() == 0 || t.member.Endpoint.State == mesh.EndpointNone {
+		return
+	}
+	row, ok := rows.Get(port.NodeTable, port.NodeRowPrefix+string(t.Identity.Node))
+	stored := storedRow{rows.EraChanges(), row.Condition()}
+	if stored == t.compared {
+		return
+	}
+	t.compared = stored
+	var m mesh.Member
+	if ok && !row.Lost && port.DecodeRow(row.Value, &m) == nil && m.Incarnation == t.member.Incarnation && m.Endpoint == t.member.Endpoint {
+		return
+	}
+	t.Logger.Info().Uint64("era", rows.Era()).Uint64("stored", stored.revision).Msg("row of this node lost by the store, written again")
+	t.queueRow(ctx, rowUpdate{Member: t.member, Rewrite: true})
 }
 
 func (t *tracker) restoreRow(ctx context.Context, stored *mesh.Endpoint) {
--- a/plugins/upstreambeats/setup.go
+++ b/plugins/upstreambeats/setup.go
@@ -48,10 +48,11 @@
 	ring *kernel.Ring[port.RowsChanged]
 }
 
-// rowUpdate is the desired content of the node's row. Remove deletes the row.
+// rowUpdate is the desired content of the node's row. Remove deletes the row; Rewrite is
+// set if the store has lost it, which it does for many nodes at once.
 type rowUpdate struct {
-	Member mesh.Member
-	Remove bool
+	Member          mesh.Member
+	Remove, Rewrite bool
 }
 
 type rowUpdateRing = kernel.Ring[rowUpdate]
--- a/plugins/upstreambeats/writer.go
+++ b/plugins/upstreambeats/writer.go
@@ -51,15 +51,18 @@
 		w.deferredFirst = true
 		_ = kernel.Sleep(ctx, presence.FirstDelay(w.PlatformSettings.Heartbeat, rand.Float64()))
 	}
-	return w.deferRefresh(ctx, update)
+	return w.deferRepeat(ctx, update)
 }
 
-// deferRefresh delays an update that tells others nothing new. It returns the update, or
-// a newer one that arrived meanwhile.
-func (w *writer) deferRefresh(ctx context.Context, update rowUpdate) rowUpdate {
-	for w.isRefresh(&update) {
+// deferRepeat delays an update that tells others nothing new, or that all nodes may have to
+// write again. It returns the update, or a newer one that arrived meanwhile.
+func (w *writer) deferRepeat(ctx context.Context, update rowUpdate) rowUpdate {
+	for update.Rewrite || w.isRefresh(&update) {
 		nodes := w.Rows.Load().Count(port.NodeTable)
 		delay := presence.RefreshDelay(nodes, w.PlatformSettings.WriteRate, rand.Float64())
+		if update.Rewrite {
+			delay = presence.RewriteDelay(nodes, w.PlatformSettings.WriteRate, rand.Float64())
+		}
 		w.Logger.Info().Str("node", string(update.Member.Node)).Int("rows", nodes).Dur("delay", delay).Msg("row to be refreshed")
 		select {
 		case <-time.After(delay):
@@ -108,8 +111,12 @@
 
 func (w *writer) write(ctx context.Context, update *rowUpdate) error {
 	key := port.NodeRowPrefix + string(update.Member.Node)
-	if row, ok := w.Rows.Load().Get(port.NodeTable, key); ok {
-		w.revision = max(w.revision, row.Revision)
+	rows := w.Rows.Load()
+	if mesh.EraOf(w.revision) < rows.Era() {
+		w.revision = 0 // the store may have lost that row
+	}
+	if row, ok := rows.Get(port.NodeTable, key); ok {
+		w.revision = max(w.revision, row.Condition())
 	}
 	txn := port.Txn{Checks: []port.Check{{Table: port.NodeTable, Key: key, Revision: w.revision}}}
 	if update.Remove {
--- a/test/sidecar/store.go
+++ b/test/sidecar/store.go
@@ -5,8 +5,10 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -40,6 +42,7 @@
 	history   []row
 	version   uint64
 	oldest    uint64 // lowest version in the history
+	era       uint64
 	changed   chan struct{}
 	start     time.Time
 
@@ -54,7 +57,7 @@
 // NewStore starts an empty store.
 func NewStore() *Store {
 	s := &Store{
-		rows: map[rowKey]row{}, changed: make(chan struct{}), start: time.Now(), refusals: map[string]int{}, stopped: make(chan struct{}),
+		era: 1, rows: map[rowKey]row{}, changed: make(chan struct{}), start: time.Now(), refusals: map[string]int{}, stopped: make(chan struct{}),
 	}
 	return s
 }
@@ -104,6 +107,37 @@
 	s.notifyFeeds()
 }
 
+// Copy is what the store held at one moment.
+type Copy struct {
+	rows            map[rowKey]row
+	history         []row
+	version, oldest uint64
+}
+
+// Copy returns a copy of what the store holds.
+func (s *Store) Copy() *Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &Copy{rows: maps.Clone(s.rows), history: slices.Clone(s.history), version: s.version, oldest: s.oldest}
+}
+
+// ReturnFrom replaces what the store holds by a copy. The changes since then are lost, and
+// their versions are given out again.
+func (s *Store) ReturnFrom(c *Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.history, s.version, s.oldest = maps.Clone(c.rows), slices.Clone(c.history), c.version, c.oldest
+	s.era++
+	s.notifyFeeds()
+}
+
+// Version returns the version of the newest change.
+func (s *Store) Version() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
 // WriteCount returns the number of transactions that were applied.
 func (s *Store) WriteCount() int {
 	s.mu.Lock()
@@ -161,6 +195,7 @@
 
 func (s *Store) withRefusals(machine string, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.setEra(w)
 		if status := s.refusalStatus(machine); status != 0 {
 			w.WriteHeader(status)
 			return
@@ -169,6 +204,13 @@
 	})
 }
 
+// setEra sets the header of the present era.
+func (s *Store) setEra(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+}
+
 func (s *Store) refusalStatus(machine string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -180,6 +222,7 @@
 
 func (s *Store) respond(w http.ResponseWriter, status int, rows []row) {
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(map[string]any{
 		"Rows": rows, "HasMore": false, "ObjectVersion": s.version, "CurrentTimeS": time.Since(s.start).Seconds(),
@@ -278,8 +321,9 @@
 	defer timer.Stop()
 	for timedOut := false; ; {
 		s.mu.Lock()
-		if after+1 < s.oldest {
+		if after+1 < s.oldest || after > s.version {
 			s.mu.Unlock()
+			s.setEra(w)
 			w.WriteHeader(http.StatusGone)
 			return
 		}
@@ -299,6 +343,7 @@
 		select {
 		case <-changed:
 			if status := s.refusalStatus(machine); status != 0 {
+				s.setEra(w)
 				w.WriteHeader(status)
 				return
 			}
