Break off uploads that go beyond the limit

Cause: an io.LimitReader ended the body at the limit like a complete one; a body that fails did not end its exchange; a body in chunks that is held whole was not compared with the limit. Change: the body fails beyond the limit, and an exchange whose incoming body fails closes its connection within the body. The caller gets 413 (body_over_limit, may have run); what is held whole is refused before it runs. Tests that failed before: edgeoutbound "a body in chunks over the limit" (3 entries), callrelay "a body that fails while it is sent never looks complete to the server" (4 entries).

--- a/plugins/callrelay/call.go
+++ b/plugins/callrelay/call.go
@@ -174,7 +174,8 @@
 // that the request has not run and never will, so it needs proof.
 func refusalStatus(code *result.Code) int {
 	switch {
-	case code == result.NoRoute, code == result.BadRequest, code == result.BodyTooLarge, code == result.Unauthenticated, code == result.AccountLimit:
+	case code == result.NoRoute, code == result.BadRequest, code == result.BodyTooLarge, code == result.BodyOverLimit, code == result.Unauthenticated,
+		code == result.AccountLimit:
 		return code.Status
 	case code.Ran == result.NotRun:
 		return http.StatusServiceUnavailable
--- a/plugins/callrelay/exchange.go
+++ b/plugins/callrelay/exchange.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"teaselring/kernel"
@@ -52,6 +53,9 @@
 	// it, and read the rest later.
 	mayRejectEarly bool
 
+	// bodyFailure is the error that ended the incoming body before its end.
+	bodyFailure atomic.Pointer[error]
+
 	conn      *connection
 	sendDone  chan error // result of a concurrent send; nil: none
 	reused    bool
@@ -106,6 +110,12 @@
 
 // classifyError returns the coded error of an exchange that failed after sending began.
 func (x *exchange) classifyError(ctx context.Context, err error) error {
+	if failure := x.bodyFailure.Load(); failure != nil {
+		if result.Of(*failure) == result.BodyOverLimit {
+			return *failure
+		}
+		err = *failure
+	}
 	if ctxErr := contextError(ctx); ctxErr != nil {
 		if result.Of(ctxErr) == result.DeadlineDuring {
 			x.pool.closeIdle(x.address)
@@ -192,7 +202,7 @@
 	r.ContentLength = x.incoming.Length
 	r.Body = io.NopCloser(bytes.NewReader(x.incoming.Buffered))
 	if x.incoming.Remaining != nil {
-		r.Body = io.NopCloser(io.MultiReader(bytes.NewReader(x.incoming.Buffered), x.incoming.Remaining))
+		r.Body = io.NopCloser(io.MultiReader(bytes.NewReader(x.incoming.Buffered), &watchedBody{Reader: x.incoming.Remaining, x: x}))
 	}
 	if x.incoming.Length == 0 {
 		r.Body = http.NoBody
@@ -205,6 +215,23 @@
 	return nil
 }
 
+// watchedBody ends the exchange when the incoming body fails before its end. The peer
+// waits for the rest, which will not come.
+type watchedBody struct {
+	io.Reader
+	x *exchange
+}
+
+// Read implements io.Reader.
+func (b *watchedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.x.bodyFailure.Store(&err)
+		_ = b.x.conn.SetDeadline(time.Unix(1, 0))
+	}
+	return n, err
+}
+
 func (x *exchange) write() error {
 	if err := x.request.Write(x.conn.writer); err != nil {
 		return err
--- a/plugins/callrelay/relay_test.go
+++ b/plugins/callrelay/relay_test.go
@@ -6,11 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -307,6 +309,40 @@
 	})
 })
 
+// Guards against a body whose end is not that of the client's (review/6).
+var _ = DescribeTable("a body that fails while it is sent never looks complete to the server", func(remote bool, failure error, want *result.Code, status int) {
+	var complete atomic.Int64 // requests
+	address := serveConnections(func(c net.Conn) {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		if _, err = io.Copy(io.Discard, r.Body); err == nil {
+			complete.Add(1)
+		}
+		_, _ = io.WriteString(c, okResponse("1", "ran"))
+	})
+	n := newNode(address)
+	if remote {
+		owner := httptest.NewServer(newNode(address).entry.owner)
+		DeferCleanup(owner.Close)
+		n = newNode().toPeer(owner.Listener.Addr().String())
+	}
+	r, err := http.NewRequest(http.MethodPost, "/once/x", nil)
+	Expect(err).NotTo(HaveOccurred())
+	r.Host, r.Header = "h", http.Header{"Id": {"1"}, "Left": {"1500"}}
+	body := io.MultiReader(strings.NewReader(strings.Repeat("x", 40_000)), iotest.ErrReader(failure))
+	response := n.entry.serve(context.Background(), &port.Request{Request: r, Buffered: []byte("begin"), Remaining: body, Length: -1, Arrived: time.Now()})
+	Expect(code(response)).To(Equal(strconv.Itoa(want.Number)))
+	Expect(response.Status).To(Equal(status))
+	Consistently(complete.Load, "300ms").Should(BeZero())
+},
+	Entry("over the limit", false, result.BodyOverLimit.Err(), result.BodyOverLimit, http.StatusRequestEntityTooLarge),
+	Entry("over the limit, through another node", true, result.BodyOverLimit.Err(), result.BodyOverLimit, http.StatusRequestEntityTooLarge),
+	Entry("since the client broke off", false, io.ErrUnexpectedEOF, result.UpstreamLost, http.StatusBadGateway),
+	Entry("since the client broke off, through another node", true, io.ErrUnexpectedEOF, result.ConnectionLost, http.StatusBadGateway),
+)
+
 var _ = Describe("a call whose caller has disconnected", func() {
 	It("is not sent to the server", func() {
 		address, requests := server(okResponse("1", "abc"))
--- a/plugins/edgeoutbound/client.go
+++ b/plugins/edgeoutbound/client.go
@@ -310,6 +310,9 @@
 		c.cancel()
 		return false
 	}
+	if int64(len(held)) > bodyBytes {
+		return c.refuse(x, result.BodyTooLarge.Errorf("the body has more than the %d bytes that are allowed", bodyBytes))
+	}
 	r.Buffered = held
 	streamed := int64(len(held)) == maxHeldBytes && r.Length != maxHeldBytes
 	if !streamed {
@@ -322,7 +325,7 @@
 		go c.serve(x, r)
 		return !x.closeAfter
 	}
-	r.Remaining = io.LimitReader(x.request.Body, bodyBytes-maxHeldBytes+1)
+	r.Remaining = &limitedBody{Reader: x.request.Body, left: bodyBytes - maxHeldBytes}
 	x.closeAfter = true // the rest may remain unread
 	c.serve(x, r)
 	return false
--- a/plugins/edgeoutbound/edgeoutbound_test.go
+++ b/plugins/edgeoutbound/edgeoutbound_test.go
@@ -21,6 +21,7 @@
 	"teaselring/kernel"
 	"teaselring/mesh"
 	"teaselring/port"
+	"teaselring/result"
 )
 
 func TestEdgeOutbound(t *testing.T) {
@@ -166,6 +167,47 @@
 	Entry("after it requested the close of the connection", "GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"),
 )
 
+// A body in chunks was cut at the limit, run as if whole, and answered 200 (review/6).
+var _ = Describe("a body in chunks over the limit", func() {
+	const limit = maxHeldBytes + 1000
+	send := func(conn net.Conn, bytes int) {
+		go func() { // the edge may stop reading
+			_, _ = io.WriteString(conn, "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"+
+				fmt.Sprintf("%x\r\n", bytes)+strings.Repeat("x", bytes)+"\r\n0\r\n\r\n")
+		}()
+	}
+	DescribeTable("never looks complete", func(bytes int, complete bool) {
+		read := make(chan error, 1)
+		conn := connectEdge(mesh.EdgeLimits{BodyBytes: limit}, func(_ context.Context, r *port.Request) *port.Response {
+			_, err := io.Copy(io.Discard, r.Remaining)
+			read <- err
+			return textResponse("")
+		})
+		send(conn, bytes)
+		var err error
+		Eventually(read, "10s").Should(Receive(&err))
+		if complete {
+			Expect(err).NotTo(HaveOccurred())
+			return
+		}
+		Expect(result.Of(err)).To(Equal(result.BodyOverLimit))
+	},
+		Entry("with the length of the limit", limit, true),
+		Entry("with one byte more", limit+1, false),
+		Entry("with many more", 3*limit, false),
+	)
+
+	It("is refused before it is run if it is held whole", func() {
+		conn := connectEdge(mesh.EdgeLimits{BodyBytes: 1000}, func(context.Context, *port.Request) *port.Response {
+			return textResponse("ran")
+		})
+		send(conn, 1001)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusRequestEntityTooLarge))
+	})
+})
+
 var _ = Describe("a connection", func() {
 	It("carries bodies with a length and in chunks", func() {
 		conn := connectEdge(mesh.EdgeLimits{}, echo)
--- a/plugins/edgeoutbound/request.go
+++ b/plugins/edgeoutbound/request.go
@@ -1,6 +1,7 @@
 package edgeoutbound
 
 import (
+	"io"
 	"net/http"
 	"strings"
 
@@ -50,6 +51,24 @@
 	return nil
 }
 
+// limitedBody is the rest of a body in chunks. It fails with result.BodyOverLimit where
+// the body goes beyond its limit: an end there would look like that of the body.
+type limitedBody struct {
+	io.Reader
+	left int64 // bytes; below 0: the limit is exceeded
+}
+
+// Read implements io.Reader.
+func (b *limitedBody) Read(p []byte) (int, error) {
+	if b.left >= 0 {
+		n, err := b.Reader.Read(p[:min(int64(len(p)), b.left+1)])
+		if b.left -= int64(n); b.left >= 0 {
+			return n, err
+		}
+	}
+	return 0, result.BodyOverLimit.Err()
+}
+
 // mayOverlap reports whether a pipelined request may start before the earlier ones are
 // answered. If an earlier response closes the connection, the client resends the request,
 // whatever its class.
--- a/result/code.go
+++ b/result/code.go
@@ -77,6 +77,7 @@
 	Evacuated        = define(1027, "evacuated", NotRun, RetrySafe, 503, "The availability zone of the upstream is being evacuated.")
 	RouteUnusable    = define(1028, "route_unusable", NotRun, RetryAfterChange, 503, "The configuration in force holds a value for the route that this node does not know.")
 	AccountLimit     = define(1029, "account_limit", NotRun, RetrySafe, 429, "The client account has reached its limit over all nodes.")
+	BodyOverLimit    = define(1030, "body_over_limit", MayHaveRun, RetryNever, 413, "The body exceeded its limit while it was sent on.")
 
 	InvalidRecord    = define(2001, "invalid_record", NotACall, RetryAfterChange, 422, "A record is invalid; nothing was written.")
 	DanglingRef      = define(2002, "dangling_reference", NotACall, RetryAfterChange, 422, "A record refers to a record that does not exist.")
