Bound the bytes that are kept of an attempt

Cause: the table of attempts keeps 65,536 entries for 10 s beyond the deadline, by the client's own id, whose length only the head bounds. Test that failed before: limit "Attempts holds the same few bytes of an attempt whatever the length of its id" (78 MB for 5,000 entries where 1.3 MB are allowed).

--- a/decision/limit/attempts.go
+++ b/decision/limit/attempts.go
@@ -2,16 +2,25 @@
 
 import (
 	"container/heap"
+	"crypto/sha256"
 	"time"
 
 	"teaselring/mesh"
 	"teaselring/result"
 )
 
-// MaxAttempts is the capacity of the attempt table. With ids of 32 characters an
-// entry takes 129 bytes of heap, 8.5 MB in a full table.
+// MaxAttempts is the capacity of the attempt table.
 const MaxAttempts = 65536
 
+// attemptKey is the beginning of the SHA-256 of an attempt's id. Clients choose ids, up to
+// the size of a request's head, and entries are kept for longer than the request.
+type attemptKey [16]byte
+
+func keyOf(id mesh.AttemptID) attemptKey {
+	sum := sha256.Sum256([]byte(id))
+	return attemptKey(sum[:])
+}
+
 // RetainAfterDeadline is the retention of an entry after the attempt's deadline.
 // It covers requests delayed on a connection without traffic, which is closed
 // within 3 s, and the rounding of relative deadlines.
@@ -36,13 +45,13 @@
 // concurrent use.
 type Attempts struct {
 	max    int
-	states map[mesh.AttemptID]attemptState
+	states map[attemptKey]attemptState
 	expiry expiryHeap
 }
 
 // NewAttempts returns an empty table that holds up to maxAttempts entries.
 func NewAttempts(maxAttempts int) *Attempts {
-	return &Attempts{max: maxAttempts, states: map[mesh.AttemptID]attemptState{}}
+	return &Attempts{max: maxAttempts, states: map[attemptKey]attemptState{}}
 }
 
 // Admit adds an attempt in the waiting state. It fails with
@@ -50,13 +59,14 @@
 // one that was settled or refused, and result.RingFull when the table is full.
 func (a *Attempts) Admit(id mesh.AttemptID, deadline, now time.Time) error {
 	a.Expire(now)
-	if state, found := a.states[id]; found {
+	key := keyOf(id)
+	if state, found := a.states[key]; found {
 		if state == attemptFenced {
 			return result.Fenced.Err()
 		}
 		return result.AttemptDuplicate.Err()
 	}
-	if !a.add(id, attemptWaiting, deadline, now) {
+	if !a.add(key, attemptWaiting, deadline, now) {
 		return result.RingFull.Errorf("the attempt table holds %d unexpired attempts", len(a.states))
 	}
 	return nil
@@ -64,19 +74,21 @@
 
 // Begin marks a waiting attempt as running and reports whether it may run.
 func (a *Attempts) Begin(id mesh.AttemptID) bool {
-	state, found := a.states[id]
-	if !found || state != attemptWaiting {
+	key := keyOf(id)
+	if state, found := a.states[key]; !found || state != attemptWaiting {
 		return false
 	}
-	a.states[id] = attemptRunning
+	a.states[key] = attemptRunning
 	return true
 }
 
 // Fence prevents a waiting attempt from ever starting. It has no effect on one
 // that has started.
-func (a *Attempts) Fence(id mesh.AttemptID) {
-	if state, found := a.states[id]; found && state == attemptWaiting {
-		a.states[id] = attemptFenced
+func (a *Attempts) Fence(id mesh.AttemptID) { a.fence(keyOf(id)) }
+
+func (a *Attempts) fence(key attemptKey) {
+	if state, found := a.states[key]; found && state == attemptWaiting {
+		a.states[key] = attemptFenced
 	}
 }
 
@@ -86,8 +98,9 @@
 // expired, and when the table has no room for a fence.
 func (a *Attempts) Settle(id mesh.AttemptID, deadline, now time.Time) bool {
 	a.Expire(now)
-	if state, found := a.states[id]; found {
-		a.Fence(id)
+	key := keyOf(id)
+	if state, found := a.states[key]; found {
+		a.fence(key)
 		return state == attemptWaiting || state == attemptFenced
 	}
 	if deadline.IsZero() {
@@ -96,13 +109,13 @@
 	if !deadline.After(now) {
 		return false
 	}
-	return a.add(id, attemptFenced, deadline, now)
+	return a.add(key, attemptFenced, deadline, now)
 }
 
 // End marks a running attempt as ended.
 func (a *Attempts) End(id mesh.AttemptID) {
-	if a.states[id] == attemptRunning {
-		a.states[id] = attemptEnded
+	if key := keyOf(id); a.states[key] == attemptRunning {
+		a.states[key] = attemptEnded
 	}
 }
 
@@ -110,12 +123,12 @@
 func (a *Attempts) Expire(now time.Time) {
 	for len(a.expiry) > 0 && !a.expiry[0].expiresAt.After(now) {
 		e := &a.expiry[0]
-		if a.states[e.id] == attemptRunning {
+		if a.states[e.key] == attemptRunning {
 			e.expiresAt = now.Add(RetainAfterDeadline)
 			heap.Fix(&a.expiry, 0)
 			continue
 		}
-		delete(a.states, e.id)
+		delete(a.states, e.key)
 		heap.Pop(&a.expiry)
 	}
 }
@@ -123,18 +136,18 @@
 // Len returns the number of entries.
 func (a *Attempts) Len() int { return len(a.states) }
 
-func (a *Attempts) add(id mesh.AttemptID, state attemptState, deadline, now time.Time) bool {
+func (a *Attempts) add(key attemptKey, state attemptState, deadline, now time.Time) bool {
 	if len(a.states) >= a.max {
 		return false
 	}
-	a.states[id] = state
+	a.states[key] = state
 	expiresAt := mesh.Earlier(deadline, now.Add(MaxTimeout)).Add(RetainAfterDeadline)
-	heap.Push(&a.expiry, expiryEntry{id, expiresAt})
+	heap.Push(&a.expiry, expiryEntry{key, expiresAt})
 	return true
 }
 
 type expiryEntry struct {
-	id        mesh.AttemptID
+	key       attemptKey
 	expiresAt time.Time
 }
 
--- a/decision/limit/attempts_test.go
+++ b/decision/limit/attempts_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"runtime"
+	"strconv"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -21,6 +24,24 @@
 		Expect(result.Of(a.Admit("x", deadline, start))).To(Equal(result.AttemptDuplicate))
 	})
 
+	// Ids of 15,608 characters, legal in size, took a node's memory (review/9).
+	It("holds the same few bytes of an attempt whatever the length of its id", func() {
+		const attempts, idBytes, maxBytes = 5000, 15_608, 256 // a full table: 16 MB
+		inUse := func() uint64 {
+			var m runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&m)
+			return m.HeapAlloc
+		}
+		a = NewAttempts(attempts)
+		before := inUse()
+		for i := range attempts {
+			Expect(a.Admit(mesh.AttemptID(strings.Repeat("x", idBytes)+strconv.Itoa(i)), deadline, start)).To(Succeed())
+		}
+		Expect(inUse()).To(BeNumerically("<", before+attempts*maxBytes))
+		Expect(a.Len()).To(Equal(attempts))
+	})
+
 	It("never starts an attempt that was settled before it arrived", func() {
 		Expect(a.Settle("x", deadline, start)).To(BeTrue())
 		Expect(result.Of(a.Admit("x", deadline, start))).To(Equal(result.Fenced))
