Detect a reset that only the sender of an upload learns of

Callers saw: a server answered a long upload with a 200 without a length, sent a part of the body and reset the connection while the upload was being written. The part was passed on as a complete response.

Cause: Linux reports that a connection was reset to one system call, the first after it. During an upload that is nearly always the write; the next read returns the end of the input, which is also how a body without a length ends. The error of the write was not looked at once the head of the response had arrived.

Ruled out: bodies with a length or in chunks, whose early end net/http detects.

Change: the connections of call.relay and call.forward are of a type that returns the error of the write from a read that meets the end of the input, unless it is EPIPE, which says that the peer's direction had ended before. It waits for a write in progress, so the order of the two goroutines does not matter.

The call ends with 502, may have run; the router gets the failure and no connection is kept.

--- a/plugins/callforward/owner.go
+++ b/plugins/callforward/owner.go
@@ -26,14 +26,13 @@
 }
 
 func newOwner(s *Settings, in ownerIn) *owner {
-	return &owner{in: in, upstreamTransport: &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: time.Second}).DialContext,
-		MaxIdleConnsPerHost:    s.UpstreamConnections,
-		MaxConnsPerHost:        s.UpstreamConnections,
-		IdleConnTimeout:        30 * time.Second,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: port.MaxHeadBytes,
-	}}
+	return &owner{in: in, upstreamTransport: port.NewTransport(&http.Transport{
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		MaxIdleConnsPerHost: s.UpstreamConnections,
+		MaxConnsPerHost:     s.UpstreamConnections,
+		IdleConnTimeout:     30 * time.Second,
+		DisableCompression:  true,
+	})}
 }
 
 // ServeHTTP runs an attempt that another node sent.
--- /dev/null
+++ b/plugins/callforward/reset_test.go
@@ -0,0 +1,68 @@
+package callforward
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"teaselring/mesh"
+	"teaselring/result"
+)
+
+// longUploadBytes exceeds the buffers of the connections of both hops, so that the upload is
+// still being written when the response arrives.
+const longUploadBytes = 16 << 20
+
+// resettingUpstream responds to the head of each request and resets the connection.
+func resettingUpstream(message string) (address string) {
+	return serveConnections(func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, message)
+		time.Sleep(5 * time.Millisecond) // the response is read before the reset
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
+}
+
+// Guards against a part of a response that is taken for a whole one because the sender of
+// the upload, and not the reader of the response, got the error of the connection.
+var _ = DescribeTable("a response without a length whose connection is reset during the upload is a failure",
+	func(local bool, body string) {
+		const plays = 40
+		p := newPair(resettingUpstream("HTTP/1.1 200 OK\r\n\r\n" + body)).discardReports()
+		target := p.remote()
+		if local {
+			target = p.local()
+		}
+		p.targets = slices.Repeat([]mesh.Target{target}, plays)
+		whole := 0
+		for range plays {
+			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+			response, err := client.Do(p.request("POST", "/upload/a", strings.Repeat("x", longUploadBytes), nil))
+			if err != nil {
+				continue // the connection was broken off
+			}
+			_, err = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+			switch {
+			case response.StatusCode != http.StatusOK:
+				Expect(code(response)).To(Equal(result.UpstreamLost))
+			case err == nil:
+				whole++
+			}
+		}
+		Expect(whole).To(BeZero(), "parts of %d that looked whole", plays)
+	},
+	Entry("after the head, on the entry node itself", true, ""),
+	Entry("within the body, on the entry node itself", true, "abc"),
+	Entry("within a long body, on the entry node itself", true, strings.Repeat("x", 4*maxHeldBytes)),
+	Entry("within the body, through another node", false, "abc"),
+)
--- a/plugins/callrelay/pool.go
+++ b/plugins/callrelay/pool.go
@@ -27,7 +27,7 @@
 
 // connection is one HTTP/1.1 connection to a node or a server.
 type connection struct {
-	net.Conn
+	*port.OutgoingConn
 	address string
 	input   *port.LimitedInput
 	reader  *bufio.Reader
@@ -66,10 +66,11 @@
 	if err != nil {
 		return nil, err
 	}
-	input := port.NewLimitedInput(raw)
+	conn := port.NewOutgoingConn(raw)
+	input := port.NewLimitedInput(conn)
 	return &connection{
-		Conn: raw, address: address, input: input,
-		reader: bufio.NewReaderSize(input, bufferBytes), writer: bufio.NewWriterSize(raw, bufferBytes),
+		OutgoingConn: conn, address: address, input: input,
+		reader: bufio.NewReaderSize(input, bufferBytes), writer: bufio.NewWriterSize(conn, bufferBytes),
 	}, nil
 }
 
@@ -109,7 +110,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
