Refuse responses with a status below 100

Callers saw: a server in trouble sent an answer with status 000, and the client got an answer.

Cause: net/http parses 000 to 099 and +20 as a status. call.relay took all below 200 for interim responses, so what followed the head, its own body included, was read as the next head. call.forward took such a status for a final one, and net/http panicked when it wrote it, which broke the caller's connection off.

Evidence: a body that looks like a response, behind a head with status 000, reached the client of call.relay as a 200, on one hop and on two. call.forward: "panic serving ...: invalid WriteHeader code 0".

Change: port.CheckResponseHead refuses these statuses, and 101, which no request asks for (call.relay refused it already). The call is a failure that may have run, also if the head says that it did not; the connection is closed.

--- /dev/null
+++ b/plugins/callforward/malformed_test.go
@@ -0,0 +1,64 @@
+package callforward
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"teaselring/mesh"
+	"teaselring/result"
+)
+
+// okMessage is a whole response to any request.
+const okMessage = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate"
+
+// expectMalformed checks that a message of an upstream is a failure that may have run on
+// each hop, and that its connection is not used for the next call.
+func expectMalformed(message string) {
+	GinkgoHelper()
+	for _, local := range []bool{true, false} {
+		for _, class := range []string{"read", "once"} {
+			connections := make(chan struct{}, 4)
+			p := newPair(serveConnections(func(c net.Conn) {
+				connections <- struct{}{}
+				for reader := bufio.NewReader(c); ; {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					_, _ = io.WriteString(c, message)
+				}
+			})).discardReports()
+			target := p.remote()
+			if local {
+				target = p.local()
+			}
+			p.targets = []mesh.Target{target, target}
+			for range 2 {
+				response, body, err := send(p.request("POST", "/"+class+"/a", "body", nil))
+				Expect(err).NotTo(HaveOccurred())
+				Expect(response.StatusCode).To(Equal(http.StatusBadGateway), body)
+				Expect(code(response)).To(Equal(result.UpstreamLost), body)
+			}
+			Expect(connections).To(HaveLen(2))
+		}
+	}
+}
+
+// Guards against a status that net/http reads but does not write: the caller's connection
+// was broken off by a panic.
+var _ = DescribeTable("a response whose status is not valid is a failure", expectMalformed,
+	Entry("000 without a body", "HTTP/1.1 000 Zero\r\nContent-Length: 0\r\n\r\n"),
+	Entry("000 with a body", "HTTP/1.1 000 Zero\r\nContent-Length: 4\r\n\r\nbody"),
+	Entry("000 before a response", "HTTP/1.1 000 Zero\r\n\r\n"+okMessage),
+	Entry("000 that says that the call did not run", "HTTP/1.1 000 Zero\r\n"+headerShed+": 1\r\nContent-Length: 0\r\n\r\n"),
+	Entry("099", "HTTP/1.1 099 Low\r\n\r\n"+okMessage),
+	Entry("+20", "HTTP/1.1 +20 OK\r\n\r\n"+okMessage),
+	Entry("101, which was not asked for", "HTTP/1.1 101 Switching Protocols\r\n\r\n"+okMessage),
+	Entry("000 after an interim response", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 Zero\r\n\r\n"+okMessage),
+)
--- a/plugins/callforward/owner.go
+++ b/plugins/callforward/owner.go
@@ -22,7 +22,7 @@
 // owner runs attempts on the upstream beside the node.
 type owner struct {
 	in                ownerIn
-	upstreamTransport *http.Transport
+	upstreamTransport *port.Transport
 }
 
 func newOwner(s *Settings, in ownerIn) *owner {
--- a/plugins/callrelay/exchange.go
+++ b/plugins/callrelay/exchange.go
@@ -265,12 +265,13 @@
 	defer x.conn.input.Unlimit()
 	for range maxInterimResponses {
 		response, err := http.ReadResponse(x.conn.reader, x.request)
-		switch {
-		case err != nil:
+		if err == nil {
+			err = port.CheckResponseHead(response)
+		}
+		if err != nil {
 			return nil, err
-		case response.StatusCode == http.StatusSwitchingProtocols:
-			return nil, errors.New("the connection was switched to another protocol")
-		case response.StatusCode >= http.StatusOK:
+		}
+		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
 	}
--- a/port/transport.go
+++ b/port/transport.go
@@ -4,11 +4,15 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 )
 
-// NewTransport completes the transport of a client of other processes: its connections are
-// of type OutgoingConn, and heads of responses are bounded.
-func NewTransport(t *http.Transport) *http.Transport {
+// Transport is the transport of a client of other processes. Its connections are of type
+// OutgoingConn, heads of responses are bounded, and malformed responses are errors.
+type Transport struct{ *http.Transport }
+
+// NewTransport returns a transport with the settings of t, which must not be used elsewhere.
+func NewTransport(t *http.Transport) *Transport {
 	dial := t.DialContext
 	if dial == nil {
 		dial = new(net.Dialer).DialContext
@@ -21,5 +25,25 @@
 		return NewOutgoingConn(conn), nil
 	}
 	t.MaxResponseHeaderBytes = MaxHeadBytes
-	return t
+	return &Transport{t}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var conn net.Conn
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn },
+	})
+	response, err := t.Transport.RoundTrip(r.WithContext(ctx))
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckResponseHead(response); err != nil {
+		_ = response.Body.Close()
+		if conn != nil && response.ProtoMajor == 1 {
+			_ = conn.Close() // net/http keeps the connection of a response without a body
+		}
+		return nil, err
+	}
+	return response, nil
 }
