Refuse responses with a malformed field name

Callers saw: a server in trouble sent an answer in whose head the name of a field held a blank, and the client got it with that line passed on.

Cause: net/http keeps names with a blank as they are ("X Y", "X ", "Content-Length "), in heads of final and of interim responses, and nothing checked them. A 503 with such a head counted as proof that the request did not run. It refuses names with other bytes that are no tokens.

Change: port.CheckResponseHead refuses each name that is no token. The call is a failure that may have run, and its connection is closed. The transport of call.forward checks interim heads too, and so bounds their number, which net/http leaves to such a client.

--- a/plugins/callforward/malformed_test.go
+++ b/plugins/callforward/malformed_test.go
@@ -11,6 +11,7 @@
 
 	"teaselring/mesh"
 	"teaselring/result"
+	"teaselring/test/endless"
 )
 
 // okMessage is a whole response to any request.
@@ -62,3 +63,33 @@
 	Entry("101, which was not asked for", "HTTP/1.1 101 Switching Protocols\r\n\r\n"+okMessage),
 	Entry("000 after an interim response", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 Zero\r\n\r\n"+okMessage),
 )
+
+// Guards against field names that net/http keeps although they hold a blank.
+var _ = DescribeTable("a response with a malformed field name is a failure", func(line string) {
+	expectMalformed("HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 0\r\n\r\n")
+	expectMalformed("HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 6\r\n\r\nserver")
+	expectMalformed("HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + okMessage)
+	expectMalformed("HTTP/1.1 503 Busy\r\n" + headerShed + ": 1\r\n" + line + "\r\nContent-Length: 0\r\n\r\n")
+},
+	Entry("with a blank in it", "X Y: z"),
+	Entry("with a blank at its end", "X : z"),
+	Entry("with a blank at the end of a known name", "Content-Length : 3"),
+	Entry("with a tab in it", "X\tY: z"),
+	Entry("with a NUL in it", "X\x00Y: z"),
+	Entry("with a parenthesis", "X(Y): z"),
+	Entry("that is empty", ": z"),
+)
+
+// Guards against interim responses that are read without end: net/http leaves their number
+// to a client that examines them.
+var _ = Describe("an upstream that sends interim responses without end", func() {
+	It("costs the call, which may have run", func() {
+		address, closed := endless.Serve("", "HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\n")
+		p := newPair(address)
+		p.targets = []mesh.Target{p.local()}
+		response, _, err := send(p.request("POST", "/once/a", "", nil))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(code(response)).To(Equal(result.UpstreamLost))
+		Eventually(closed, "30s").Should(Receive())
+	})
+})
--- a/plugins/callrelay/exchange.go
+++ b/plugins/callrelay/exchange.go
@@ -28,8 +28,6 @@
 	maxHeldTotal = 16 << 20
 	// maxStrayResponses bounds the responses to earlier requests that are skipped.
 	maxStrayResponses = 3
-	// maxInterimResponses bounds the interim responses (1xx) to one request.
-	maxInterimResponses = 16
 	// bodyFinishTimeout is the time to send the rest of a body whose response is
 	// complete before the connection is closed.
 	bodyFinishTimeout = 50 * time.Millisecond
@@ -263,7 +261,7 @@
 func (x *exchange) readHead() (*http.Response, error) {
 	x.conn.input.Limit(port.MaxHeadBytes) // interim responses included
 	defer x.conn.input.Unlimit()
-	for range maxInterimResponses {
+	for range port.MaxInterimResponses {
 		response, err := http.ReadResponse(x.conn.reader, x.request)
 		if err == nil {
 			err = port.CheckResponseHead(response)
--- a/plugins/callrelay/malformed_test.go
+++ b/plugins/callrelay/malformed_test.go
@@ -68,3 +68,37 @@
 },
 	Entry("with status 000", "HTTP/1.1 000 Zero\r\nId: 1\r\nProof: p\r\nContent-Length: 64\r\n\r\n"+okResponse("1", strings.Repeat("f", 64))),
 )
+
+// Guards against field names that net/http keeps although they hold a blank. Another parser
+// may read such a line as a field with another name, such as a length.
+var _ = DescribeTable("a response with a malformed field name is a failure", func(line string) {
+	body := "Content-Length: 6\r\n\r\nserver"
+	expectMalformed(okHead + line + "\r\n" + body)
+	expectMalformed("HTTP/1.1 200 OK\r\n" + line + "\r\nId: 1\r\nProof: p\r\n" + body)
+	expectMalformed("HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + okResponse("1", "server"))
+	expectMalformed("HTTP/1.1 503 Busy\r\nId: 1\r\nNot-Run: 1\r\n" + line + "\r\nContent-Length: 0\r\n\r\n")
+	expectMalformed("HTTP/1.1 421 Other\r\nId: 1\r\nServer: j\r\n" + line + "\r\nContent-Length: 0\r\n\r\n")
+},
+	Entry("with a blank in it", "X Y: z"),
+	Entry("with a blank at its end", "X : z"),
+	Entry("with a blank at the end of a known name", "Content-Length : 3"),
+	Entry("with a blank at the end of the name of the proof", "Proof : q"),
+	Entry("with a blank at the end of the id's", "Id : 1"),
+	Entry("with a blank before a valid line", "X Y: z\r\nX-Y: z"),
+	Entry("with a tab in it", "X\tY: z"),
+	Entry("with a tab at its end", "X\t: z"),
+	Entry("with a NUL in it", "X\x00Y: z"),
+	Entry("with a carriage return in it", "X\rY: z"),
+	Entry("with an escape character", "X\x1bY: z"),
+	Entry("with DEL", "X\x7f: z"),
+	Entry("with a byte above 127", "X\xe9: z"),
+	Entry("with a parenthesis", "X(Y): z"),
+	Entry("that is empty", ": z"),
+	Entry("without a colon", "X"),
+)
+
+var _ = Describe("a response whose first field line begins with a blank", func() {
+	It("is a failure", func() {
+		expectMalformed("HTTP/1.1 200 OK\r\n X: z\r\nId: 1\r\nProof: p\r\nContent-Length: 6\r\n\r\nserver")
+	})
+})
--- a/port/transport.go
+++ b/port/transport.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
+	"sync/atomic"
 )
 
 // Transport is the transport of a client of other processes. Its connections are of type
@@ -31,8 +33,15 @@
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var conn net.Conn
+	var interim atomic.Int64
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn },
+		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
+			if interim.Add(1) > MaxInterimResponses { // net/http bounds each, not their number
+				return ErrHeadTooLarge
+			}
+			return checkFieldNames(header)
+		},
 	})
 	response, err := t.Transport.RoundTrip(r.WithContext(ctx))
 	if err != nil {
