Check responses in all clients of other processes

Cause: a status below 100 and a field name with a blank, which net/http reads without an error, were found on the call path. The same stood in each client that reads with net/http: those of the store, of other nodes, of health checks and of operators. With status 000, an operator's request counted as a success and a transaction as not written; rows of nodes and words of health checks were used.

Change: all read through port.Transport, which also detects a reset during an upload and bounds heads. An outcome at the platform is unknown, an operator's request may have been executed, and what came with a broken response is not used. Its connection is closed, also where net/http has put it back already (a response without a body).

Ruled out: names over HTTP/2, which net/http refuses. Not changed: the handshake of links, whose library takes status 101 only.

--- a/operator/transport.go
+++ b/operator/transport.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"teaselring/port"
 	"teaselring/result"
 )
 
@@ -61,7 +62,7 @@
 		baseURL: "http://" + address.String(),
 		token:   token,
 		http: &http.Client{
-			Transport:     &http.Transport{},
+			Transport:     port.NewTransport(&http.Transport{}),
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
--- a/plugins/accountlimits/sender.go
+++ b/plugins/accountlimits/sender.go
@@ -16,9 +16,9 @@
 type client struct{ *http.Client }
 
 func newClient() client {
-	return client{&http.Client{Timeout: sendTimeout, Transport: &http.Transport{
+	return client{&http.Client{Timeout: sendTimeout, Transport: port.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout, DisableCompression: true,
-	}}}
+	})}}
 }
 
 type senderIn struct {
--- a/plugins/callforward/malformed_test.go
+++ b/plugins/callforward/malformed_test.go
@@ -1,9 +1,6 @@
 package callforward
 
 import (
-	"bufio"
-	"io"
-	"net"
 	"net/http"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -12,6 +9,7 @@
 	"teaselring/mesh"
 	"teaselring/result"
 	"teaselring/test/endless"
+	"teaselring/test/malformed"
 )
 
 // okMessage is a whole response to any request.
@@ -23,18 +21,8 @@
 	GinkgoHelper()
 	for _, local := range []bool{true, false} {
 		for _, class := range []string{"read", "once"} {
-			connections := make(chan struct{}, 4)
-			p := newPair(serveConnections(func(c net.Conn) {
-				connections <- struct{}{}
-				for reader := bufio.NewReader(c); ; {
-					r, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, r.Body)
-					_, _ = io.WriteString(c, message)
-				}
-			})).discardReports()
+			address, connections := malformed.Serve(message)
+			p := newPair(address).discardReports()
 			target := p.remote()
 			if local {
 				target = p.local()
--- a/plugins/callforward/reset_test.go
+++ b/plugins/callforward/reset_test.go
@@ -1,43 +1,29 @@
 package callforward
 
 import (
-	"bufio"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
-	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"teaselring/mesh"
 	"teaselring/result"
+	"teaselring/test/malformed"
 )
 
 // longUploadBytes exceeds the buffers of the connections of both hops, so that the upload is
 // still being written when the response arrives.
 const longUploadBytes = 16 << 20
 
-// resettingUpstream responds to the head of each request and resets the connection.
-func resettingUpstream(message string) (address string) {
-	return serveConnections(func(c net.Conn) {
-		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-			return
-		}
-		_, _ = io.WriteString(c, message)
-		time.Sleep(5 * time.Millisecond) // the response is read before the reset
-		_ = c.(*net.TCPConn).SetLinger(0)
-	})
-}
-
 // Guards against a part of a response that is taken for a whole one because the sender of
 // the upload, and not the reader of the response, got the error of the connection.
 var _ = DescribeTable("a response without a length whose connection is reset during the upload is a failure",
 	func(local bool, body string) {
 		const plays = 40
-		p := newPair(resettingUpstream("HTTP/1.1 200 OK\r\n\r\n" + body)).discardReports()
+		p := newPair(malformed.ServeReset("HTTP/1.1 200 OK\r\n\r\n" + body)).discardReports()
 		target := p.remote()
 		if local {
 			target = p.local()
--- a/plugins/crashspread/learner.go
+++ b/plugins/crashspread/learner.go
@@ -61,17 +61,20 @@
 
 func newLearner(in learnerIn) kernel.Duty {
 	l := &learner{
-		learnerIn: in,
-		// Each node is asked once, so that a kept connection would only hold a descriptor.
-		client: &http.Client{Timeout: askTimeout, Transport: &http.Transport{
-			DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: port.MaxHeadBytes,
-		}},
-		params:  quarantine.DefaultParams(),
+		learnerIn: in, client: newAskClient(), params: quarantine.DefaultParams(),
 		reports: metrics.NewRegisteredCounter("crash.learned", in.Metrics),
 	}
 	return kernel.Duty{Name: "crash-learner", Owns: "the crash reports learned at the start", Run: l.run}
 }
 
+// newAskClient returns a client for requests to many nodes. Each is asked once, so that a
+// kept connection would only hold a descriptor.
+func newAskClient() *http.Client {
+	return &http.Client{Timeout: askTimeout, Transport: port.NewTransport(&http.Transport{
+		DisableKeepAlives: true, DisableCompression: true,
+	})}
+}
+
 func (l *learner) run(ctx context.Context) error {
 	if l.PlatformSettings.FirstStart {
 		l.Learned.Store(&port.LearnedCrashes{})
--- a/plugins/crashspread/setup.go
+++ b/plugins/crashspread/setup.go
@@ -27,6 +27,10 @@
 	sendTimeout = 500 * time.Millisecond
 	// maxConcurrentSends bounds the nodes that a report is sent to concurrently.
 	maxConcurrentSends = 8
+	// maxIdleConns bounds the connections that are kept after a report. Crashes are rare.
+	maxIdleConns = 100
+	// idleTimeout is shorter than that of the inbound edge.
+	idleTimeout = 20 * time.Second
 	// maxReportBytes is far above the size of a report of all of a server's slots.
 	maxReportBytes = 64 << 10
 )
@@ -62,10 +66,16 @@
 }
 
 func newDuty(in dutyIn) kernel.Duty {
-	d := &duty{dutyIn: in, client: &http.Client{Timeout: sendTimeout}}
+	d := &duty{dutyIn: in, client: newBroadcastClient()}
 	return kernel.Duty{Name: "crash-spread", Owns: "nothing", In: []string{pushRing}, Run: d.run}
 }
 
+func newBroadcastClient() *http.Client {
+	return &http.Client{Timeout: sendTimeout, Transport: port.NewTransport(&http.Transport{
+		MaxIdleConns: maxIdleConns, IdleConnTimeout: idleTimeout, DisableCompression: true,
+	})}
+}
+
 func (d *duty) run(ctx context.Context) error {
 	return d.Pushes.Each(ctx, func(push port.Push) {
 		// Other nodes' reports were already broadcast by the node of the crash.
--- a/plugins/edgepeers/client.go
+++ b/plugins/edgepeers/client.go
@@ -35,14 +35,13 @@
 func newClient(s *Settings, tls port.PeerTLS) port.PeerClient {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP2(true)
-	return port.PeerClient{Client: &http.Client{Transport: &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext,
-		TLSClientConfig:        tls.Client,
-		TLSHandshakeTimeout:    dialTimeout,
-		Protocols:              protocols,
-		HTTP2:                  http2Config(s),
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: port.MaxHeadBytes,
-		IdleConnTimeout:        90 * time.Second,
-	}}}
+	return port.PeerClient{Client: &http.Client{Transport: port.NewTransport(&http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext,
+		TLSClientConfig:     tls.Client,
+		TLSHandshakeTimeout: dialTimeout,
+		Protocols:           protocols,
+		HTTP2:               http2Config(s),
+		DisableCompression:  true,
+		IdleConnTimeout:     90 * time.Second,
+	})}}
 }
--- a/plugins/platformhttp/client.go
+++ b/plugins/platformhttp/client.go
@@ -35,14 +35,13 @@
 
 // New returns a client. It opens no connection.
 func New(settings Settings) *Client {
-	transport := &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: settings.Timeout.Duration}).DialContext,
-		MaxIdleConnsPerHost:    maxConnections,
-		MaxConnsPerHost:        maxConnections,
-		IdleConnTimeout:        idleTimeout,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: port.MaxHeadBytes,
-	}
+	transport := port.NewTransport(&http.Transport{
+		DialContext:         (&net.Dialer{Timeout: settings.Timeout.Duration}).DialContext,
+		MaxIdleConnsPerHost: maxConnections,
+		MaxConnsPerHost:     maxConnections,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	})
 	return &Client{
 		base:    "http://" + settings.Address.String(),
 		timeout: settings.Timeout.Duration,
--- a/plugins/rolloutrows/duties.go
+++ b/plugins/rolloutrows/duties.go
@@ -24,14 +24,16 @@
 }
 
 func newSender(r *reports, v *verdicts, logger *log.Logger) kernel.Duty {
-	s := &sender{reports: r, verdicts: v, logger: logger, client: &http.Client{
-		Timeout: reportTimeout, Transport: &http.Transport{IdleConnTimeout: 5 * time.Second, MaxResponseHeaderBytes: port.MaxHeadBytes},
-	}}
+	s := &sender{reports: r, verdicts: v, logger: logger, client: newReportClient()}
 	return kernel.Duty{
 		Name: "evidence-sender", Owns: "nothing", In: []string{reportRing}, Out: []string{verdictRing}, Run: s.run,
 	}
 }
 
+func newReportClient() *http.Client {
+	return &http.Client{Timeout: reportTimeout, Transport: port.NewTransport(&http.Transport{IdleConnTimeout: 5 * time.Second})}
+}
+
 func (s *sender) run(ctx context.Context) error {
 	return s.reports.Each(ctx, func(out outgoingReport) { s.send(ctx, &out) })
 }
--- a/plugins/storereplica/client.go
+++ b/plugins/storereplica/client.go
@@ -34,10 +34,10 @@
 }
 
 func newRowsClient(rows *port.RowsCell) *rowsClient {
-	return &rowsClient{rows: rows, http: &http.Client{Transport: &http.Transport{
+	return &rowsClient{rows: rows, http: &http.Client{Transport: port.NewTransport(&http.Transport{
 		DialContext:     (&net.Dialer{Timeout: connectTimeout}).DialContext,
-		IdleConnTimeout: 5 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: port.MaxHeadBytes,
-	}}}
+		IdleConnTimeout: 5 * time.Second, DisableCompression: true,
+	})}}
 }
 
 // fetchFrom returns a node's rows that are newer than those of this node, as soon as there
--- a/plugins/upstreambeats/cold.go
+++ b/plugins/upstreambeats/cold.go
@@ -65,9 +65,7 @@
 }
 
 func newHealthClient() *http.Client {
-	return &http.Client{Timeout: healthCheckTimeout, Transport: &http.Transport{
-		DisableKeepAlives: true, MaxResponseHeaderBytes: port.MaxHeadBytes,
-	}}
+	return &http.Client{Timeout: healthCheckTimeout, Transport: port.NewTransport(&http.Transport{DisableKeepAlives: true})}
 }
 
 // maxCold bounds what a server says about its cold state, so that it fits in a duration.
