Refuse broken responses in the soak and the measurements

Cause: the readers that judge responses took one with a malformed field name for whole, and the soak one without a length, whose end says nothing.

Change: they check the head like the product, and the soak counts a response without a length as a mismatch: nodes always send one or chunks.

--- a/measure/calls/request.go
+++ b/measure/calls/request.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"teaselring/port"
 )
 
 // callerTransport is the transport of all callers. It does not limit the number
@@ -55,6 +57,9 @@
 		return reply{err: err}
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := port.CheckResponseHead(response); err != nil {
+		return reply{err: err}
+	}
 	content, err := io.ReadAll(response.Body)
 	return reply{
 		status: response.StatusCode, code: response.Header.Get("Teasel-Code"),
--- a/test/harness/load.go
+++ b/test/harness/load.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"teaselring/port"
 )
 
 // Class of a call in a load, named as in route records.
@@ -122,7 +124,7 @@
 	// connection, which would hide the result of the first attempt.
 	client := &http.Client{
 		Timeout:   callerTimeout,
-		Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true},
+		Transport: port.NewTransport(&http.Transport{DisableKeepAlives: true, DisableCompression: true}),
 	}
 	go func() {
 		defer close(jobs)
--- a/test/soak/caller.go
+++ b/test/soak/caller.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"time"
 
+	"teaselring/port"
 	"teaselring/test/sidecar"
 )
 
@@ -150,9 +151,14 @@
 		return err
 	}
 	mismatch := ""
+	malformed := port.CheckResponseHead(response)
 	h := response.Header
 	signed := h.Get("Response-Signature") != ""
 	switch {
+	case malformed != nil:
+		mismatch = fmt.Sprintf("a malformed response: %v", malformed)
+	case response.ContentLength < 0 && len(response.TransferEncoding) == 0:
+		mismatch = "a response without a length, which may be a part"
 	case response.StatusCode < 300 && (!signed || h.Get("Attempt-Id") != id || h.Get("X-Path") != k.path || len(content) != bodySize):
 		mismatch = fmt.Sprintf("a success for request %q, path %q, %d bytes of %d", h.Get("Attempt-Id"), h.Get("X-Path"), len(content), bodySize)
 	case h.Get("Attempt-Id") != "" && h.Get("Attempt-Id") != id:
