Reset the connection of an HTTP/1.0 caller whose response is truncated

Callers saw, in a spec: a caller of teasel-node that speaks HTTP/1.0 got a part of a response without a length as a complete one.

Cause: a body that breaks off aborts the caller's connection, which net/http closes orderly. It sends no chunks to HTTP/1.0 callers, so that the end of the connection is the end of the body.

Change: the close is a reset for them. The limit on connections hides the TCP connection, so the listener keeps it and the request's context has it.

--- a/plugins/callforward/callforward_suite_test.go
+++ b/plugins/callforward/callforward_suite_test.go
@@ -103,7 +103,9 @@
 		Peers:    port.PeerClient{Client: peers.Client()},
 		Owner:    p.owner,
 	})
-	callers := httptest.NewServer(p.entry)
+	callers := httptest.NewUnstartedServer(p.entry)
+	callers.Config.ConnContext = port.ConnContext
+	callers.Start()
 	DeferCleanup(callers.Close)
 	p.url = callers.URL
 	return p
--- a/plugins/callforward/copy.go
+++ b/plugins/callforward/copy.go
@@ -4,6 +4,8 @@
 	"io"
 	"net/http"
 	"sync"
+
+	"teaselring/port"
 )
 
 // copyBufferBytes is the memory that one call uses for a streamed body.
@@ -11,15 +13,18 @@
 
 var copyBuffers = sync.Pool{New: func() any { b := make([]byte, copyBufferBytes); return &b }}
 
-// copyResponse sends the status, headers and body of a response. A truncated body
-// aborts the connection to the receiver, so that it is never taken for a complete one.
-func copyResponse(w http.ResponseWriter, response *http.Response, p *progressTimer) {
+// copyResponse sends the status, headers and body of a response to a request. A truncated
+// body aborts the connection to the receiver, so that it is never taken for a complete one.
+func copyResponse(w http.ResponseWriter, r *http.Request, response *http.Response, p *progressTimer) {
 	header := w.Header()
 	for name, values := range response.Header {
 		header[name] = values
 	}
 	w.WriteHeader(response.StatusCode)
 	if err := copyBody(w, response.Body, response.ContentLength, p); err != nil {
+		if !r.ProtoAtLeast(1, 1) {
+			port.ResetOnClose(r.Context())
+		}
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/plugins/callforward/exchange.go
+++ b/plugins/callforward/exchange.go
@@ -87,7 +87,7 @@
 func (c *exchange) deliver(w http.ResponseWriter, response *http.Response, outcome mesh.Outcome) {
 	defer response.Body.Close()
 	defer func() { c.report(port.OutcomeReport{Outcome: outcome, CallEnded: true}) }()
-	copyResponse(w, response, c.progressTimer)
+	copyResponse(w, c.request, response, c.progressTimer)
 }
 
 // attempt picks a target and runs the call there once.
--- a/plugins/callforward/owner.go
+++ b/plugins/callforward/owner.go
@@ -59,7 +59,7 @@
 		return
 	}
 	defer response.Body.Close()
-	copyResponse(w, response, progressTimer)
+	copyResponse(w, r, response, progressTimer)
 }
 
 // load returns the current load of the upstream, or else the one at admission.
--- a/plugins/callforward/reset_test.go
+++ b/plugins/callforward/reset_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
+	"syscall"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -52,3 +54,23 @@
 	Entry("within a long body, on the entry node itself", true, strings.Repeat("x", 4*maxHeldBytes)),
 	Entry("within the body, through another node", false, "abc"),
 )
+
+// Guards against a part of a response that an HTTP/1.0 caller takes for a whole one: the end
+// of the connection is the only mark of the end of a body without a length.
+var _ = DescribeTable("a truncated response to an HTTP/1.0 caller ends with a reset", func(local bool) {
+	p := newPair(malformed.ServeReset("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"))
+	p.targets = []mesh.Target{p.remote()}
+	if local {
+		p.targets = []mesh.Target{p.local()}
+	}
+	conn, err := net.Dial("tcp", strings.TrimPrefix(p.url, "http://"))
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET /read/a HTTP/1.0\r\nHost: h\r\n\r\n")
+	Expect(err).NotTo(HaveOccurred())
+	content, err := io.ReadAll(conn)
+	Expect(err).To(MatchError(syscall.ECONNRESET), "read %q", content)
+},
+	Entry("on the entry node itself", true),
+	Entry("through another node", false),
+)
--- a/port/serve.go
+++ b/port/serve.go
@@ -42,6 +42,7 @@
 func (l Listener) StartWith(lc fx.Lifecycle, logger *log.Logger, grace *kernel.Grace) {
 	base, cancelRequests := context.WithCancelCause(context.Background())
 	l.Server.BaseContext = func(net.Listener) context.Context { return base }
+	l.Server.ConnContext = ConnContext
 	lc.Append(fx.StartHook(func() error { return l.start(logger) }))
 	grace.OnDrain(func(workCtx context.Context) { l.stop(workCtx, cancelRequests) })
 }
@@ -69,7 +70,8 @@
 	}
 	logger.Info().Str("edge", l.Edge).Str("address", address.String()).Msg("listening")
 	go func() {
-		err := l.Serve(netutil.LimitListener(listener, l.MaxConnections))
+		original := &originalListener{Listener: listener}
+		err := l.Serve(&limitedListener{Listener: netutil.LimitListener(original, l.MaxConnections), original: original})
 		if err != nil && err != http.ErrServerClosed {
 			logger.Error().Str("edge", l.Edge).Err(err).Msg("listener failed")
 		}
