Test broken responses with real processes

Cause: the specs of the three faults run within one process; the report was of real processes.

Change: the server of the sidecar specs sends each kind of broken response while a long upload is being written, to clients of two nodes.

--- a/test/sidecar/server.go
+++ b/test/sidecar/server.go
@@ -97,6 +97,10 @@
 		cutResponse(w, r, part)
 		return
 	}
+	if name, ok := strings.CutPrefix(path.Base(r.URL.Path), brokenPrefix); ok {
+		breakResponse(w, r, name)
+		return
+	}
 	failing := s.FailsCurrentRequest()
 	body, _ := io.ReadAll(r.Body)
 	time.Sleep(time.Duration(s.workMS.Load()) * time.Millisecond)
