Report the end of the peer's direction to a write as such

Cause: a read that meets the end of the input interrupts a write in progress by a deadline; the write then returned a timeout, which the client of the store counts as a slow link.

Change: such a write returns that the peer has ended the connection.

--- a/port/outgoing_conn.go
+++ b/port/outgoing_conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -16,10 +17,13 @@
 // without a length; those of an OutgoingConn return the error of the write.
 type OutgoingConn struct {
 	net.Conn
-	writing sync.Mutex // held during a write
-	aborted error      // guarded by writing
+	ended   atomic.Bool // a read has met the end of the input
+	writing sync.Mutex  // held during a write
+	aborted error       // guarded by writing
 }
 
+var errPeerEnded = errors.New("the peer has ended the connection")
+
 // NewOutgoingConn returns a connection that reads from and writes to conn.
 func NewOutgoingConn(conn net.Conn) *OutgoingConn { return &OutgoingConn{Conn: conn} }
 
@@ -28,8 +32,11 @@
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
-	if isAbort(err) {
+	switch {
+	case isAbort(err):
 		c.aborted = err
+	case err != nil && c.ended.Load(): // it was interrupted by Read, which is no timeout
+		err = errPeerEnded
 	}
 	return n, err
 }
@@ -48,6 +55,7 @@
 	if err != io.EOF {
 		return n, err
 	}
+	c.ended.Store(true)
 	_ = c.Conn.SetWriteDeadline(time.Unix(1, 0))
 	c.writing.Lock()
 	defer c.writing.Unlock()
