--- a/plugins/callforward/cut_test.go
+++ b/plugins/callforward/cut_test.go
@@ -18,8 +18,8 @@
 	"teaselring/result"
 )
 
-// serveConnections serves each connection to the address until the test ends.
-func serveConnections(serve func(net.Conn)) (address string) {
+// cutUpstream answers each request with a part of a response and closes the connection.
+func cutUpstream(part func() string) (address string) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(listener.Close)
@@ -29,25 +29,16 @@
 			if err != nil {
 				return
 			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				serve(c)
-			}()
+			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(c, part())
+			}
+			_ = c.Close()
 		}
 	}()
 	return listener.Addr().String()
 }
 
-// cutUpstream answers each request with a part of a response and closes the connection.
-func cutUpstream(part func() string) (address string) {
-	return serveConnections(func(c net.Conn) {
-		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-			_, _ = io.Copy(io.Discard, r.Body)
-			_, _ = io.WriteString(c, part())
-		}
-	})
-}
-
 // discardReports empties the rings of a pair that makes more calls than they hold.
 func (p *pair) discardReports() *pair {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/port/reset.go
+++ b/port/reset.go
@@ -15,7 +15,7 @@
 
 type tcpConnKey struct{}
 
-// ConnContext is the ConnContext of a http.Server whose handlers call ResetOnClose.
+// ConnContext is the ConnContext of an http.Server whose handlers call ResetOnClose.
 func ConnContext(ctx context.Context, c net.Conn) context.Context {
 	if accepted, ok := c.(*acceptedConn); ok {
 		c = accepted.original
