Use one accept loop for the stand-ins that write bytes themselves

Cause: the loop that accepts connections and closes them stood in callrelay, endless and three times in callforward, and the work on broken responses wrote it again in malformed; it also wrote the server that resets a connection twice.

Change: test/connections has the loop, and the specs of call.relay use the reset of test/malformed. No assertion changes, and no product code. A comment says where the check of kept connections tests something.

--- a/plugins/callforward/callforward_test.go
+++ b/plugins/callforward/callforward_test.go
@@ -17,6 +17,7 @@
 	"teaselring/mesh"
 	"teaselring/port"
 	"teaselring/result"
+	"teaselring/test/connections"
 	"teaselring/wire"
 )
 
@@ -64,12 +65,8 @@
 // breakingUpstream responds to the first request of each connection and closes the
 // connection after it has read the second. It returns the key of each request.
 func breakingUpstream() (address string, keys <-chan string) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(listener.Close)
 	seen := make(chan string, 16)
-	serve := func(c net.Conn) {
-		defer c.Close()
+	return connections.Serve(func(c net.Conn) {
 		for reader, n := bufio.NewReader(c), 0; n < 2; n++ {
 			request, err := http.ReadRequest(reader)
 			if err != nil {
@@ -81,17 +78,7 @@
 				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 			}
 		}
-	}
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
-	return listener.Addr().String(), seen
+	}), seen
 }
 
 // net/http repeats a request on a new connection when an idle one breaks, if it has
@@ -153,19 +140,7 @@
 
 // closingPeer closes each connection without a response.
 func closingPeer() mesh.Target {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(listener.Close)
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			_ = c.Close()
-		}
-	}()
-	return mesh.Target{Node: "silent", PeerAddress: listener.Addr().String()}
+	return mesh.Target{Node: "silent", PeerAddress: connections.Serve(func(net.Conn) {})}
 }
 
 var _ = Describe("a call whose first attempt may have run", func() {
--- a/plugins/callforward/cut_test.go
+++ b/plugins/callforward/cut_test.go
@@ -16,27 +16,17 @@
 	"teaselring/mesh"
 	"teaselring/port"
 	"teaselring/result"
+	"teaselring/test/connections"
 )
 
 // cutUpstream answers each request with a part of a response and closes the connection.
 func cutUpstream(part func() string) (address string) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(listener.Close)
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				_, _ = io.Copy(io.Discard, r.Body)
-				_, _ = io.WriteString(c, part())
-			}
-			_ = c.Close()
+	return connections.Serve(func(c net.Conn) {
+		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(c, part())
 		}
-	}()
-	return listener.Addr().String()
+	})
 }
 
 // discardReports empties the rings of a pair that makes more calls than they hold.
--- a/plugins/callrelay/cut_test.go
+++ b/plugins/callrelay/cut_test.go
@@ -16,13 +16,14 @@
 	"teaselring/mesh"
 	"teaselring/port"
 	"teaselring/result"
+	"teaselring/test/connections"
 	"teaselring/wire"
 )
 
 // cutServer answers the first request of each connection completely if kept is set, and
 // the next with a part of a message. Then it closes the connection.
 func cutServer(kept bool, part func() string) (address string) {
-	return serveConnections(func(c net.Conn) {
+	return connections.Serve(func(c net.Conn) {
 		reader := bufio.NewReader(c)
 		for i := 0; ; i++ {
 			r, err := http.ReadRequest(reader)
@@ -90,7 +91,7 @@
 // Guards against a body without length that is taken for a whole one although its
 // connection was reset.
 var _ = DescribeTable("a response without a length whose connection is reset is a failure", func(message string) {
-	address := serveConnections(func(c net.Conn) {
+	address := connections.Serve(func(c net.Conn) {
 		r, err := http.ReadRequest(bufio.NewReader(c))
 		if err != nil {
 			return
--- a/plugins/callrelay/disconnect_test.go
+++ b/plugins/callrelay/disconnect_test.go
@@ -16,6 +16,7 @@
 	"teaselring/kernel"
 	"teaselring/mesh"
 	"teaselring/port"
+	"teaselring/test/connections"
 	"teaselring/wire"
 )
 
@@ -89,7 +90,7 @@
 // rejectingServer responds to POST requests before it has read the body, which it
 // reads only when readOn is closed.
 func rejectingServer(readOn <-chan struct{}) (address string) {
-	return serveConnections(func(c net.Conn) {
+	return connections.Serve(func(c net.Conn) {
 		reader := bufio.NewReader(c)
 		for {
 			r, err := http.ReadRequest(reader)
--- a/plugins/callrelay/refusal_test.go
+++ b/plugins/callrelay/refusal_test.go
@@ -15,6 +15,7 @@
 
 	"teaselring/port"
 	"teaselring/result"
+	"teaselring/test/connections"
 )
 
 // A faulty server wrote an earlier refusal once more. Callers were told "not run" for
@@ -30,7 +31,7 @@
 	// slowServer responds to the first request of each connection with first, and to the
 	// next at once with answer and later with the real response.
 	slowServer := func(first, answer string) string {
-		return serveConnections(func(c net.Conn) {
+		return connections.Serve(func(c net.Conn) {
 			reader := bufio.NewReader(c)
 			for _, response := range []string{first, answer} {
 				if response == "" {
--- a/plugins/callrelay/relay_test.go
+++ b/plugins/callrelay/relay_test.go
@@ -24,6 +24,7 @@
 	"teaselring/mesh"
 	"teaselring/port"
 	"teaselring/result"
+	"teaselring/test/connections"
 	"teaselring/test/rings"
 )
 
@@ -134,7 +135,7 @@
 	for _, s := range script {
 		next <- s
 	}
-	return serveConnections(func(c net.Conn) {
+	return connections.Serve(func(c net.Conn) {
 		for reader := bufio.NewReader(c); ; {
 			r, err := http.ReadRequest(reader)
 			if err != nil {
@@ -151,26 +152,6 @@
 	}), requests
 }
 
-// serveConnections serves each connection to the address until the test ends.
-func serveConnections(serve func(net.Conn)) (address string) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(listener.Close)
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				serve(c)
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
-
 // closeAfter ends a scripted response after which the server closes the connection.
 const closeAfter = "\x00"
 
@@ -312,7 +293,7 @@
 // Guards against a body whose end is not that of the client's (review/6).
 var _ = DescribeTable("a body that fails while it is sent never looks complete to the server", func(remote bool, failure error, want *result.Code, status int) {
 	var complete atomic.Int64 // requests
-	address := serveConnections(func(c net.Conn) {
+	address := connections.Serve(func(c net.Conn) {
 		r, err := http.ReadRequest(bufio.NewReader(c))
 		if err != nil {
 			return
--- a/plugins/callrelay/reset_test.go
+++ b/plugins/callrelay/reset_test.go
@@ -16,6 +16,8 @@
 
 	"teaselring/port"
 	"teaselring/result"
+	"teaselring/test/connections"
+	"teaselring/test/malformed"
 )
 
 const (
@@ -27,23 +29,6 @@
 	resetPlays = 40
 )
 
-// earlyResponder responds to the head of each request and then ends the connection.
-func earlyResponder(message string, end func(*net.TCPConn)) (address string) {
-	return serveConnections(func(c net.Conn) {
-		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-			return
-		}
-		_, _ = io.WriteString(c, message)
-		time.Sleep(5 * time.Millisecond) // the response is read before the end
-		end(c.(*net.TCPConn))
-	})
-}
-
-func reset(c *net.TCPConn) {
-	_ = c.SetLinger(0)
-	_ = c.Close()
-}
-
 // upload sends a long body with the id "1" through the node.
 func (n *node) upload(class string) *port.Response {
 	GinkgoHelper()
@@ -84,7 +69,7 @@
 // the upload, and not the reader of the response, got the error of the connection.
 var _ = DescribeTable("a response without a length whose connection is reset during the upload is a failure",
 	func(hop, body string) {
-		address := earlyResponder(okHead+"\r\n"+body, reset)
+		address := malformed.ServeReset(okHead + "\r\n" + body)
 		whole := 0
 		for range resetPlays {
 			n := uploadPaths(address)[hop]()
@@ -123,10 +108,15 @@
 // the upload with a reset.
 var _ = DescribeTable("a response without a length that ends during the upload is whole",
 	func(hop string) {
-		address := earlyResponder(okHead+"\r\nabc", func(c *net.TCPConn) {
-			_ = c.CloseWrite()
+		address := connections.Serve(func(c net.Conn) {
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, okHead+"\r\nabc")
+			time.Sleep(5 * time.Millisecond) // the response is read before its end
+			_ = c.(*net.TCPConn).CloseWrite()
 			time.Sleep(5 * time.Millisecond)
-			reset(c)
+			_ = c.(*net.TCPConn).SetLinger(0)
 		})
 		for range resetPlays {
 			response := uploadPaths(address)[hop]().upload("once")
--- a/test/endless/endless.go
+++ b/test/endless/endless.go
@@ -10,8 +10,7 @@
 	"runtime"
 	"strings"
 
-	"github.com/onsi/ginkgo/v2"
-	"github.com/onsi/gomega"
+	"teaselring/test/connections"
 )
 
 // MaxAllocated bounds what a call may allocate for bytes that are no response: a few
@@ -22,31 +21,18 @@
 // with a beginning and then repeats a part until the connection is closed, which it
 // reports.
 func Serve(begin, part string) (address string, closed chan struct{}) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	ginkgo.DeferCleanup(listener.Close)
 	closed = make(chan struct{}, 16)
 	repeated := []byte(strings.Repeat(part, 1+(16<<10)/len(part)))
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				respond(conn, begin, repeated)
-				select {
-				case closed <- struct{}{}:
-				default:
-				}
-			}()
+	return connections.Serve(func(conn net.Conn) {
+		respond(conn, begin, repeated)
+		select {
+		case closed <- struct{}{}:
+		default:
 		}
-	}()
-	return listener.Addr().String(), closed
+	}), closed
 }
 
 func respond(conn net.Conn, begin string, repeated []byte) {
-	defer func() { _ = conn.Close() }()
 	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
 		return
 	}
--- a/test/malformed/malformed.go
+++ b/test/malformed/malformed.go
@@ -13,6 +13,8 @@
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+
+	"teaselring/test/connections"
 )
 
 // Response returns a valid response with lines of fields, each with its line end.
@@ -37,19 +39,19 @@
 }
 
 // Serve runs a server until the spec ends. It answers each request with the message, and
-// connections receives a value for each connection.
-func Serve(message string) (address string, connections chan struct{}) {
-	connections = make(chan struct{}, 16)
-	return serve(func(conn net.Conn) {
-		connections <- struct{}{}
+// accepted receives a value for each connection.
+func Serve(message string) (address string, accepted chan struct{}) {
+	accepted = make(chan struct{}, 16)
+	return connections.Serve(func(conn net.Conn) {
+		accepted <- struct{}{}
 		respond(conn, message)
-	}), connections
+	}), accepted
 }
 
 // ServeReset runs a server until the spec ends. It answers the head of each request with a
 // message and resets the connection while the client sends the body.
 func ServeReset(message string) (address string) {
-	return serve(func(conn net.Conn) {
+	return connections.Serve(func(conn net.Conn) {
 		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
 			_, _ = io.WriteString(conn, message)
 			time.Sleep(5 * time.Millisecond) // the message is read before the reset
@@ -58,25 +60,6 @@
 	})
 }
 
-func serve(handle func(net.Conn)) (address string) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	ginkgo.DeferCleanup(listener.Close)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				handle(conn)
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
-
 func respond(conn net.Conn, message string) {
 	for reader := bufio.NewReader(conn); ; {
 		request, err := http.ReadRequest(reader)
@@ -91,23 +74,24 @@
 }
 
 // Each checks that read accepts the valid response and refuses all variants of it. Read is
-// called twice on each, and a refused response must cost its connection.
+// called twice on each, and a refused response must cost its connection, which is tested
+// where read keeps its client.
 func Each(fields, body string, read func(address string) error) {
 	ginkgo.GinkgoHelper()
 	address, _ := Serve(Response("200 OK", fields, body))
 	gomega.Expect(read(address)).To(gomega.Succeed())
-	var accepted []string
+	var wrong []string
 	for what, message := range Variants(fields, body) {
-		address, connections := Serve(message)
+		address, accepted := Serve(message)
 		for range 2 {
 			if read(address) == nil {
-				accepted = append(accepted, what)
+				wrong = append(wrong, what)
 			}
 		}
-		if len(connections) != 2 {
-			accepted = append(accepted, what+", kept connection")
+		if len(accepted) != 2 {
+			wrong = append(wrong, what+", kept connection")
 		}
 	}
-	slices.Sort(accepted)
-	gomega.Expect(accepted).To(gomega.BeEmpty())
+	slices.Sort(wrong)
+	gomega.Expect(wrong).To(gomega.BeEmpty())
 }
